--- /dev/null
+++ b/src/logging/event_log.cc
@@ -0,0 +1,87 @@
+#include "logging/event_log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <exception>
+#include <optional>
+
+#include "logging/format_event.h"
+
+namespace clementineloom::logging {
+namespace {
+
+// UTC with milliseconds, then the level; the event's own fields follow.
+constexpr const char* kPattern = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} level=%p %m%n";
+
+log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::kInfo:
+      return log4cxx::Level::getInfo();
+    case LogLevel::kWarning:
+      return log4cxx::Level::getWarn();
+    case LogLevel::kError:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+std::optional<LogLevel> ParseLevel(std::string_view name) {
+  if (name == "debug") {
+    return LogLevel::kDebug;
+  }
+  if (name == "info") {
+    return LogLevel::kInfo;
+  }
+  if (name == "warning") {
+    return LogLevel::kWarning;
+  }
+  return name == "error" ? std::optional(LogLevel::kError) : std::nullopt;
+}
+
+const log4cxx::LoggerPtr& RootLogger() {
+  static const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
+  return logger;
+}
+
+log4cxx::AppenderPtr MakeAppender(const std::string& file) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
+  if (file.empty()) {
+    return std::make_shared<log4cxx::ConsoleAppender>(layout,
+                                                      log4cxx::ConsoleAppender::getSystemErr());
+  }
+  return std::make_shared<log4cxx::FileAppender>(layout, file, true);
+}
+
+}  // namespace
+
+Result<void> ConfigureLog(const std::string& level, const std::string& file) {
+  const auto parsed = ParseLevel(level);
+  if (!parsed) {
+    return Refuse(ResultCode::kInvalidValue, "log_level");
+  }
+  try {
+    RootLogger()->removeAllAppenders();
+    RootLogger()->addAppender(MakeAppender(file));
+    RootLogger()->setLevel(ToLog4cxx(*parsed));
+  } catch (const std::exception& error) {
+    return Refuse(ResultCode::kFileUnreadable, file + ": " + error.what());
+  }
+  return {};
+}
+
+void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  const log4cxx::LevelPtr log4cxx_level = ToLog4cxx(level);
+  if (RootLogger()->isEnabledFor(log4cxx_level)) {
+    RootLogger()->forcedLog(log4cxx_level, FormatEvent(event, fields));
+  }
+}
+
+}  // namespace clementineloom::logging
--- /dev/null
+++ b/src/logging/event_log.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "clementineloom/errors/result.h"
+#include "logging/log_field.h"
+#include "logging/log_level.h"
+
+namespace clementineloom::logging {
+
+/// @brief Sets level and destination of the process's log. Call once, before other threads start.
+/// @param level "debug", "info", "warning" or "error"
+/// @param file path, or empty for standard error
+/// Errors: kInvalidValue (level), kFileUnreadable (the file cannot be opened).
+[[nodiscard]] Result<void> ConfigureLog(const std::string& level, const std::string& file);
+
+/// @brief Writes one key=value line for an event. Thread safety: any thread.
+/// @code
+/// LogEvent(LogLevel::kInfo, "job_placed", {{"job", 7}, {"attempt", 1}});
+/// @endcode
+void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
+}  // namespace clementineloom::logging
--- /dev/null
+++ b/src/metrics/metric_registry.cc
@@ -0,0 +1,119 @@
+#include "metrics/metric_registry.h"
+
+#include <boost/histogram.hpp>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <utility>
+
+namespace clementineloom::metrics {
+namespace {
+
+namespace bh = boost::histogram;
+
+// Logarithmic buckets: 25 for a factor of two million keep a quantile within about 40%.
+constexpr unsigned kBuckets = 25;
+constexpr double kFirstBucketSeconds = 50e-6;
+constexpr double kLastBucketSeconds = 100.0;
+
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Buckets =
+    decltype(bh::make_histogram(LatencyAxis{kBuckets, kFirstBucketSeconds, kLastBucketSeconds}));
+
+struct LatencyHistogram {
+  Buckets buckets =
+      bh::make_histogram(LatencyAxis{kBuckets, kFirstBucketSeconds, kLastBucketSeconds});
+  double sum_seconds = 0;
+  std::uint64_t count = 0;
+};
+
+using SeriesName = std::pair<std::string, std::string>;
+
+std::string LabelText(std::string_view label, std::string_view value) {
+  if (label.empty()) {
+    return {};
+  }
+  return "{" + std::string(label) + "=\"" + std::string(value) + "\"}";
+}
+
+void WriteHistogram(std::ostream& out, const std::string& name, const LatencyHistogram& histogram) {
+  out << "# TYPE " << name << " histogram\n";
+  // Index -1 is the underflow bucket: latencies below the first bound.
+  auto cumulative = static_cast<std::uint64_t>(histogram.buckets.at(-1));
+  const auto& axis = histogram.buckets.axis();
+  out << name << "_bucket{le=\"" << axis.bin(0).lower() << "\"} " << cumulative << '\n';
+  for (int n = 0; n < axis.size(); ++n) {
+    cumulative += static_cast<std::uint64_t>(histogram.buckets.at(n));
+    out << name << "_bucket{le=\"" << axis.bin(n).upper() << "\"} " << cumulative << '\n';
+  }
+  out << name << "_bucket{le=\"+Inf\"} " << histogram.count << '\n';
+  out << name << "_sum " << histogram.sum_seconds << '\n';
+  out << name << "_count " << histogram.count << '\n';
+}
+
+}  // namespace
+
+class MetricRegistry::Impl {
+ public:
+  void Count(std::string_view name, std::string label, std::uint64_t amount) {
+    const std::scoped_lock lock(mutex_);
+    counters_[SeriesName(name, std::move(label))] += amount;
+  }
+
+  void Set(std::string_view name, double number) {
+    const std::scoped_lock lock(mutex_);
+    gauges_[std::string(name)] = number;
+  }
+
+  void Observe(std::string_view name, double seconds) {
+    const std::scoped_lock lock(mutex_);
+    LatencyHistogram& histogram = histograms_[std::string(name)];
+    histogram.buckets(seconds);
+    histogram.sum_seconds += seconds;
+    ++histogram.count;
+  }
+
+  std::string Expose() const {
+    const std::scoped_lock lock(mutex_);
+    std::ostringstream out;
+    std::string_view last;
+    for (const auto& [series, number] : counters_) {
+      if (series.first != last) {
+        out << "# TYPE " << series.first << " counter\n";
+        last = series.first;
+      }
+      out << series.first << series.second << ' ' << number << '\n';
+    }
+    for (const auto& [name, number] : gauges_) {
+      out << "# TYPE " << name << " gauge\n" << name << ' ' << number << '\n';
+    }
+    for (const auto& [name, histogram] : histograms_) {
+      WriteHistogram(out, name, histogram);
+    }
+    return out.str();
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<SeriesName, std::uint64_t> counters_;
+  std::map<std::string, double> gauges_;
+  std::map<std::string, LatencyHistogram> histograms_;
+};
+
+MetricRegistry::MetricRegistry() : impl_(std::make_unique<Impl>()) {}
+MetricRegistry::~MetricRegistry() = default;
+
+void MetricRegistry::Count(std::string_view name, std::string_view label, std::string_view value,
+                           std::uint64_t amount) {
+  impl_->Count(name, LabelText(label, value), amount);
+}
+
+void MetricRegistry::Set(std::string_view name, double number) { impl_->Set(name, number); }
+
+void MetricRegistry::Observe(std::string_view name, std::chrono::nanoseconds latency) {
+  impl_->Observe(name, std::chrono::duration<double>(latency).count());
+}
+
+std::string MetricRegistry::Expose() const { return impl_->Expose(); }
+
+}  // namespace clementineloom::metrics
