--- a/include/clementineloom/state/cluster_state.h
+++ b/include/clementineloom/state/cluster_state.h
@@ -14,6 +14,7 @@
 #include "clementineloom/model/config_revision.h"
 #include "clementineloom/model/log_offset.h"
 #include "clementineloom/state/apply_outcome.h"
+#include "clementineloom/state/change_journal.h"
 #include "clementineloom/state/data_centre_entry.h"
 #include "clementineloom/state/job_entry.h"
 #include "clementineloom/state/rack_entry.h"
@@ -75,9 +76,19 @@
   [[nodiscard]] const std::set<JobId>& active_jobs() const { return active_jobs_; }
   [[nodiscard]] const std::unordered_map<JobId, JobEntry>& jobs() const { return jobs_; }
 
+  /// @brief The last changes, for indexes that follow this state.
+  [[nodiscard]] const ChangeJournal& journal() const { return journal_; }
+
   /// @brief Whether new work may be placed on the worker.
   [[nodiscard]] bool IsPlaceable(WorkerId id) const;
 
+  /// @brief Number of the worker, rack or data centre that holds the worker.
+  [[nodiscard]] std::uint32_t DomainOf(WorkerId worker, Adjacency adjacency) const;
+  /// @brief Number of the domain that a cell of this shape is bound to when it uses the worker.
+  /// A cell within one worker is bound to that worker, whatever its adjacency: parts of it on
+  /// several workers would not add up to the whole shape again.
+  [[nodiscard]] std::uint32_t CellDomainOf(WorkerId worker, const GangShape& guaranteed) const;
+
   /// @brief Checks a placement against the current state, without changing it.
   /// @param decided_at the last offset that the proposer had applied
   /// @return kOk, or why the placement is void
@@ -113,7 +124,6 @@
                                              const Placement& placement) const;
   [[nodiscard]] ResultCode ValidateWorkers(const GangShape& shape,
                                            const Placement& placement) const;
-  [[nodiscard]] std::uint32_t DomainOf(WorkerId worker, Adjacency adjacency) const;
   JobEntry* FindActive(JobId job, std::uint32_t attempt);
   RackId FindOrAddRack(const std::string& name, DataCentreId data_centre);
   void Hold(LogOffset offset, JobEntry& job, const Placement& placement);
@@ -141,6 +151,7 @@
   std::set<JobId> active_jobs_;
   std::deque<JobId> ended_jobs_;
 
+  ChangeJournal journal_;
   std::unordered_set<std::size_t> record_id_hashes_;
   std::deque<std::size_t> record_id_order_;
 };
--- a/include/clementineloom/state/job_entry.h
+++ b/include/clementineloom/state/job_entry.h
@@ -36,6 +36,8 @@
   std::uint32_t attempt = 0;
   /// Attempts that ended in StopReason::kAttemptFailed.
   std::uint32_t failures = 0;
+  /// As reported at the end of the last attempt; 0 until then.
+  Duration run_time{0};
   /// Offset of the placement in force.
   FencingToken token;
   std::vector<Allocation> allocations;
--- a/include/clementineloom/state/team_entry.h
+++ b/include/clementineloom/state/team_entry.h
@@ -14,6 +14,8 @@
   bool deleted = false;
   /// Jobs that have not ended.
   std::uint32_t active_jobs = 0;
+  /// Accelerators that the team's jobs hold, guaranteed and borrowed.
+  std::uint32_t held_accelerators = 0;
   /// Use of the guarantees: one list for each guarantee, one item for each of its shapes.
   std::vector<std::vector<CellUse>> cells;
 };
--- a/src/state/apply_config.cc
+++ b/src/state/apply_config.cc
@@ -41,6 +41,7 @@
     std::visit([&](const auto& it) { ApplyEdit(it); }, edit);
   }
   config_revision_ = ConfigRevision(config_revision_.value() + 1);
+  journal_.Add(config_revision_);
   guarantee_epoch_ = offset;
   return ApplyOutcome(ResultCode::kOk);
 }
@@ -72,7 +73,11 @@
   const TeamId next(static_cast<std::uint32_t>(teams_.size()));
   const auto [it, inserted] = team_names_.emplace(edit.team.name(), next);
   if (inserted) {
-    teams_.push_back(TeamEntry{.team = edit.team, .deleted = false, .active_jobs = 0, .cells = {}});
+    teams_.push_back(TeamEntry{.team = edit.team,
+                               .deleted = false,
+                               .active_jobs = 0,
+                               .held_accelerators = 0,
+                               .cells = {}});
   }
   TeamEntry& entry = teams_[it->second.value()];
   entry.team = edit.team;
--- a/src/state/apply_job.cc
+++ b/src/state/apply_job.cc
@@ -23,6 +23,7 @@
   jobs_.emplace(id, std::move(entry));
   job_keys_.emplace(body.key, id);
   waiting_jobs_.insert(id);
+  journal_.Add(id);
   ++teams_[team->value()].active_jobs;
   return ApplyOutcome({.code = ResultCode::kOk, .placement_codes = {}, .job = id});
 }
@@ -39,6 +40,7 @@
     } else {
       job.phase = JobPhase::kStopping;
       job.stop_reason = StopReason::kCancelled;
+      journal_.Add(id);
     }
   }
   return ApplyOutcome(ResultCode::kOk);
@@ -72,6 +74,7 @@
     return ApplyOutcome(ResultCode::kWrongAttempt);
   }
   job->phase = JobPhase::kRunning;
+  journal_.Add(body.job);
   return ApplyOutcome(ResultCode::kOk);
 }
 
@@ -82,12 +85,14 @@
   }
   job->phase = JobPhase::kStopping;
   job->stop_reason = body.reason;
+  journal_.Add(body.job);
   const bool is_failure = body.reason == StopReason::kAttemptFailed;
   if (is_failure) {
     ++job->failures;
   }
   if (body.suspect && body.suspect->value() < workers_.size()) {
     ++workers_[body.suspect->value()].consecutive_failures;
+    journal_.Add(*body.suspect);
     if (std::ranges::find(job->failed_on, *body.suspect) == job->failed_on.end()) {
       job->failed_on.push_back(*body.suspect);
     }
@@ -121,6 +126,7 @@
       workers_[it.worker().value()].consecutive_failures = 0;
     }
   }
+  job->run_time = body.run_time;
   Release(body.job, *job);
   End(body.job, *job, body.outcome);
   return ApplyOutcome(ResultCode::kOk);
@@ -155,20 +161,23 @@
   job.attempt = placement.attempt();
   job.token = FencingToken(offset.value());
   job.allocations = placement.allocations();
+  teams_[job.team.value()].held_accelerators += job.spec->shape().total_accelerators();
   for (const Allocation& it : job.allocations) {
     WorkerEntry& entry = workers_[it.worker().value()];
     entry.free_accelerators -= it.accelerators();
     entry.jobs.push_back(placement.job());
+    journal_.Add(it.worker());
   }
   if (job.kind == CapacityKind::kGuaranteed) {
     TeamEntry& entry = teams_[job.team.value()];
     const GangShape& shape = entry.team.guarantees()[job.guarantee_index].shape();
     CellUse& cell = entry.cells[job.guarantee_index][job.guarantee_instance];
     cell.units += CellUnits(shape, job.spec->shape());
-    cell.domain = DomainOf(job.allocations.front().worker(), shape.adjacency());
+    cell.domain = CellDomainOf(job.allocations.front().worker(), shape);
   }
   waiting_jobs_.erase(placement.job());
   active_jobs_.insert(placement.job());
+  journal_.Add(placement.job());
 }
 
 void ClusterState::Release(JobId id, JobEntry& job) {
@@ -176,13 +185,16 @@
     WorkerEntry& entry = workers_[it.worker().value()];
     entry.free_accelerators += it.accelerators();
     std::erase(entry.jobs, id);
+    journal_.Add(it.worker());
   }
+  teams_[job.team.value()].held_accelerators -= job.spec->shape().total_accelerators();
   if (job.kind == CapacityKind::kGuaranteed) {
     ReleaseCell(job);
   }
   job.allocations.clear();
   job.allocations.shrink_to_fit();
   active_jobs_.erase(id);
+  journal_.Add(id);
 }
 
 void ClusterState::ReleaseCell(const JobEntry& job) {
@@ -195,6 +207,7 @@
 void ClusterState::End(JobId id, JobEntry& job, JobOutcome outcome) {
   job.phase = JobPhase::kEnded;
   job.outcome = outcome;
+  journal_.Add(id);
   waiting_jobs_.erase(id);
   --teams_[job.team.value()].active_jobs;
   ended_jobs_.push_back(id);
--- a/src/state/apply_worker.cc
+++ b/src/state/apply_worker.cc
@@ -37,6 +37,7 @@
     workers_[id.value()] = std::move(entry);
     racks_[rack.value()].workers.push_back(id);
   }
+  journal_.Add(id);
   guarantee_epoch_ = offset;
   return ApplyOutcome(ResultCode::kOk);
 }
@@ -55,6 +56,7 @@
   if (body.condition == WorkerCondition::kLive) {
     entry.consecutive_failures = 0;
   }
+  journal_.Add(*id);
   guarantee_epoch_ = offset;
   return ApplyOutcome(ResultCode::kOk);
 }
--- a/src/state/validate_placement.cc
+++ b/src/state/validate_placement.cc
@@ -81,11 +81,14 @@
   if (cell.units + CellUnits(shape, job.spec->shape()) > CellCapacity(shape)) {
     return ResultCode::kGuaranteeExhausted;
   }
-  const std::uint32_t domain =
-      DomainOf(placement.allocations().front().worker(), shape.adjacency());
+  const std::uint32_t domain = CellDomainOf(placement.allocations().front().worker(), shape);
   return cell.units > 0 && cell.domain != domain ? ResultCode::kAdjacencyViolated : ResultCode::kOk;
 }
 
+std::uint32_t ClusterState::CellDomainOf(WorkerId id, const GangShape& guaranteed) const {
+  return DomainOf(id, guaranteed.workers() == 1 ? Adjacency::kWorker : guaranteed.adjacency());
+}
+
 std::uint32_t ClusterState::DomainOf(WorkerId id, Adjacency adjacency) const {
   switch (adjacency) {
     case Adjacency::kWorker:
