--- /dev/null
+++ b/include/clementineloom/decision/detail/worker_rooms.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "clementineloom/decision/detail/capacity_index.h"
+#include "clementineloom/decision/detail/worker_room.h"
+#include "clementineloom/state/cluster_state.h"
+
+namespace clementineloom::detail {
+
+/// @brief The rooms of all workers and the indexes over them.
+///
+/// Thread safety: none; private to the decision thread.
+class WorkerRooms {
+ public:
+  /// @brief Reads all workers; drops all reservations.
+  void Rebuild(const ClusterState& state);
+  /// @brief Reads one worker again; keeps its reservations.
+  void Refresh(const ClusterState& state, WorkerId worker);
+
+  /// @brief Takes accelerators that a placement decided in this pass will hold; less than 0 gives
+  /// them back. Refresh undoes it.
+  void Take(const ClusterState& state, WorkerId worker, std::int32_t accelerators,
+            std::int32_t charge);
+  void Reserve(const ClusterState& state, WorkerId worker, const CellKey& cell,
+               std::int32_t accelerators);
+  void Unreserve(const ClusterState& state, WorkerId worker, const CellKey& cell,
+                 std::int32_t accelerators);
+
+  [[nodiscard]] const WorkerRoom& room(WorkerId worker) const { return rooms_[worker.value()]; }
+  [[nodiscard]] std::size_t size() const { return rooms_.size(); }
+
+  /// @brief Accelerators that no job holds and no idle cell is bound to.
+  [[nodiscard]] const CapacityIndex& open() const { return open_; }
+  /// @brief Accelerators that no job holds.
+  [[nodiscard]] const CapacityIndex& free() const { return free_; }
+  /// @brief Accelerators outside all cells, whether borrowed or not.
+  [[nodiscard]] const CapacityIndex& slack() const { return slack_; }
+  /// @brief Accelerators of all workers that are not lost, in service or not.
+  [[nodiscard]] const CapacityIndex& configured() const { return configured_; }
+
+  /// @brief Accelerators of placeable workers outside cells in use.
+  [[nodiscard]] std::int64_t room_in_all() const { return room_in_all_; }
+
+  /// @brief Workers with jobs that are lost or leaving or in a data centre out of service.
+  [[nodiscard]] const std::set<WorkerId>& to_vacate() const { return to_vacate_; }
+
+  /// @brief Whether cells in use and idle cells together exceed the worker.
+  [[nodiscard]] bool IsOverbooked(WorkerId worker) const;
+
+ private:
+  void Read(const ClusterState& state, WorkerId worker);
+  void Index(const ClusterState& state, WorkerId worker);
+
+  std::vector<WorkerRoom> rooms_;
+  std::int64_t room_in_all_ = 0;
+  std::set<WorkerId> to_vacate_;
+  CapacityIndex open_;
+  CapacityIndex free_;
+  CapacityIndex slack_;
+  CapacityIndex configured_;
+};
+
+}  // namespace clementineloom::detail
