--- /dev/null
+++ b/include/clementineloom/decision/detail/victims.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "clementineloom/model/job_id.h"
+#include "clementineloom/model/worker_id.h"
+
+namespace clementineloom::detail {
+
+/// @brief Workers that can be cleared, the jobs that have to stop for it, and their cost.
+struct Victims {
+  std::vector<WorkerId> workers;
+  std::vector<JobId> jobs;
+  std::uint64_t cost = 0;
+
+  friend auto operator<=>(const Victims&, const Victims&) = default;
+};
+
+}  // namespace clementineloom::detail
