--- /dev/null
+++ b/include/clementineloom/decision/start_times.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+
+#include "clementineloom/model/instant.h"
+#include "clementineloom/state/cluster_state.h"
+
+namespace clementineloom {
+
+/// @brief When each attempt in progress was first seen. Thread safety: none.
+class StartTimes {
+ public:
+  void Observe(const ClusterState& state, JobId job, Instant now);
+  /// @brief How long the job's attempt has run; zero if it was not seen.
+  [[nodiscard]] Duration Elapsed(JobId job, Instant now) const;
+  void Clear() { started_.clear(); }
+
+ private:
+  /// By job: attempt and the time at which it was first seen.
+  std::unordered_map<JobId, std::pair<std::uint32_t, Instant>> started_;
+};
+
+}  // namespace clementineloom
