--- /dev/null
+++ b/include/clementineloom/decision/retry_budget.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "clementineloom/model/instant.h"
+#include "clementineloom/model/team_id.h"
+
+namespace clementineloom {
+
+/// @brief Counts the repeated attempts of each team in a sliding hour. Thread safety: none.
+class RetryBudget {
+ public:
+  static constexpr Duration kWindow = std::chrono::hours(1);
+
+  /// @brief Whether the team may repeat one more attempt under its limit.
+  [[nodiscard]] bool MayRetry(TeamId team, std::uint32_t limit, Instant now);
+  void Count(TeamId team, Instant now) { retries_[team].push_back(now); }
+
+ private:
+  /// Oldest first.
+  std::map<TeamId, std::deque<Instant>> retries_;
+};
+
+}  // namespace clementineloom
--- a/include/clementineloom/state/records/job_refused.h
+++ b/include/clementineloom/state/records/job_refused.h
@@ -5,7 +5,8 @@
 
 namespace clementineloom {
 
-/// @brief A waiting job can never run under the configured capacity.
+/// @brief A waiting job ends: it can never run under the configured capacity (kJobNeverFits), or it
+/// failed too often (kRetryBudgetExhausted) and ends as failed.
 struct JobRefused {
   const JobId job;
   const ResultCode code = ResultCode::kJobNeverFits;
--- a/src/state/apply_job.cc
+++ b/src/state/apply_job.cc
@@ -140,7 +140,9 @@
   if (it->second.phase != JobPhase::kWaiting) {
     return ApplyOutcome(ResultCode::kJobNotWaiting);
   }
-  End(body.job, it->second, JobOutcome::kRefused);
+  // A job that ran and may not be repeated has failed; the others never ran.
+  const bool has_failed = body.code == ResultCode::kRetryBudgetExhausted;
+  End(body.job, it->second, has_failed ? JobOutcome::kFailed : JobOutcome::kRefused);
   return ApplyOutcome(ResultCode::kOk);
 }
 
