Decide over whole passes: order, batches, reclaim, reservation

The engine placed one job in each call, as borrowed work. With a PassPlacer it now orders the waiting jobs (urgent, guaranteed, least share of the guarantees, age), places them in one record, refuses what never fits, stops work on workers that leave, reclaims for guaranteed jobs, and reserves room for the oldest blocked borrowers with backfill. Bound: a reserved job waits for the jobs that held its workers at the reservation, and for backfill to stop; backfill that overruns is stopped, so that wrong estimates do not lengthen it. A plain Placer works as before.

--- a/include/clementineloom/decision/decision_engine.h
+++ b/include/clementineloom/decision/decision_engine.h
@@ -1,9 +1,25 @@
 #pragma once
 
+#include <algorithm>
+#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "clementineloom/decision/blocked_jobs.h"
+#include "clementineloom/decision/decision_options.h"
+#include "clementineloom/decision/detail/change_follower.h"
+#include "clementineloom/decision/guarantee_risk.h"
+#include "clementineloom/decision/job_queue.h"
+#include "clementineloom/decision/pass_placer.h"
+#include "clementineloom/decision/pass_result.h"
 #include "clementineloom/decision/placer.h"
+#include "clementineloom/decision/quarantine.h"
+#include "clementineloom/decision/reservations.h"
+#include "clementineloom/decision/retry_budget.h"
+#include "clementineloom/decision/run_time_estimates.h"
+#include "clementineloom/decision/start_times.h"
+#include "clementineloom/decision/vacate_stops.h"
 #include "clementineloom/model/instant.h"
 #include "clementineloom/state/cluster_state.h"
 #include "clementineloom/state/record_body.h"
@@ -12,17 +28,48 @@
 
 /// @brief Turns a state into the records that should follow it. Appends and applies nothing itself.
 ///
+/// A plain Placer places the oldest job that fits, one in each call. A PassPlacer gets the whole
+/// policy: order, batches, refusals, reclaim, reservation with backfill, quarantine, retry budgets.
+/// Estimates, quarantine times and budgets are learnt from the states that it is shown, and are
+/// lost with it.
+///
 /// Thread safety: none; the thread that owns the state calls it.
+/// @code
+/// DecisionEngine<CellPlacer> engine;
+/// for (RecordBody& body : engine.Decide(state, now)) Append(std::move(body));
+/// @endcode
 template <Placer P>
 class DecisionEngine {
  public:
-  explicit DecisionEngine(P placer) : placer_(std::move(placer)) {}
+  explicit DecisionEngine(P placer = P(), DecisionOptions options = {})
+      : placer_(std::move(placer)), options_(options), quarantine_(options) {}
 
   /// @brief The records that are due now, in the order in which they should be appended.
   ///
   /// A proposal that was lost or voided is given again by a later call, because it is derived from
-  /// the state alone.
+  /// the state. Precondition: now does not go back.
   [[nodiscard]] std::vector<RecordBody> Decide(const ClusterState& state, Instant now) {
+    if constexpr (PassPlacer<P>) {
+      return DecidePass(state, now);
+    } else {
+      return DecideOne(state, now);
+    }
+  }
+
+  /// @brief Guarantees that the last call of Decide found no place for.
+  [[nodiscard]] std::vector<GuaranteeRisk> Risks(const ClusterState& state) const requires
+      PassPlacer<P> {
+    return placer_.packing().Risks(state);
+  }
+
+  [[nodiscard]] const RunTimeEstimates& estimates() const { return estimates_; }
+  [[nodiscard]] const Reservations& reservations() const { return reservations_; }
+
+ private:
+  // Share of jobs that have to end within the time for backfill.
+  static constexpr double kBackfillQuantile = 0.9;
+
+  std::vector<RecordBody> DecideOne(const ClusterState& state, Instant now) {
     std::vector<RecordBody> records;
     for (const JobId job : state.waiting_jobs()) {
       if (auto placement = placer_.Place(state, job, now)) {
@@ -34,8 +81,285 @@
     return records;
   }
 
- private:
+  std::vector<RecordBody> DecidePass(const ClusterState& state, Instant now) {
+    Observe(state, now);
+    placer_.BeginPass(state);
+    reservations_.Refresh(state);
+    GuardProbation(state);
+    PassResult result;
+    result.stops = VacateStops(state, placer_.packing().rooms().to_vacate());
+    BlockedJobs blocked;
+    PlaceWaiting(state, now, result, blocked);
+    Backfill(state, now, result, blocked);
+    Reserve(state, blocked);
+    StopOverrun(state, result);
+    return ToRecords(state, now, std::move(result));
+  }
+
+  void Observe(const ClusterState& state, Instant now) {
+    if (!follower_.Follow(state)) {
+      estimates_.Clear();
+      start_times_.Clear();
+      quarantine_.Clear();
+      reservations_.Clear();
+    }
+    for (const JobId job : follower_.jobs()) {
+      ObserveRunTime(state, job);
+      start_times_.Observe(state, job, now);
+      quarantine_.ObserveJob(state, job);
+    }
+    for (const WorkerId worker : follower_.workers()) {
+      quarantine_.ObserveWorker(state, worker, now);
+    }
+  }
+
+  void ObserveRunTime(const ClusterState& state, JobId job) {
+    const JobEntry* entry = state.FindJob(job);
+    const bool has_succeeded = entry != nullptr && entry->outcome == JobOutcome::kSucceeded;
+    if (has_succeeded) {
+      estimates_.Observe(*entry->spec, entry->run_time);
+    }
+  }
+
+  // A worker on probation that has a job gets no second one.
+  void GuardProbation(const ClusterState& state) {
+    for (const WorkerId worker : quarantine_.ProbationWithJob(state)) {
+      placer_.KeepFree(state, worker, placer_.packing().rooms().room(worker).free);
+    }
+  }
+
+  void PlaceWaiting(const ClusterState& state, Instant now, PassResult& result,
+                    BlockedJobs& blocked) {
+    JobQueue queue(state, QueuedJobs(state));
+    bool is_holding = false;
+    while (result.allocations < options_.max_allocations_per_call) {
+      const auto next = queue.Next();
+      if (!next) {
+        break;
+      }
+      // Reservations bind only borrowers: guaranteed work has the first claim on every worker.
+      if (next->rank >= QueueRank::kBorrowing && !is_holding) {
+        HoldReservations(state, 1);
+        is_holding = true;
+      }
+      if (TryPlace(state, *next, now, result, blocked)) {
+        queue.Grant(next->team, state.FindJob(next->job)->spec->shape().total_accelerators());
+      }
+    }
+    if (!is_holding) {
+      HoldReservations(state, 1);
+    }
+  }
+
+  [[nodiscard]] std::vector<QueuedJob> QueuedJobs(const ClusterState& state) const {
+    std::vector<QueuedJob> jobs;
+    jobs.reserve(state.waiting_jobs().size());
+    // A burst holds many jobs of few shapes.
+    std::map<std::pair<TeamId, GangShape>, bool> has_idle_cell;
+    for (const JobId job : state.waiting_jobs()) {
+      const JobEntry& entry = *state.FindJob(job);
+      const GangShape& shape = entry.spec->shape();
+      const auto [it, is_new] = has_idle_cell.try_emplace({entry.team, shape}, false);
+      if (is_new) {
+        it->second = placer_.HasIdleCell(entry.team, shape);
+      }
+      jobs.push_back({RankOf(entry.spec->priority(), it->second), job, entry.team});
+    }
+    return jobs;
+  }
+
+  [[nodiscard]] static QueueRank RankOf(JobPriority priority, bool has_idle_cell) {
+    if (priority == JobPriority::kUrgent) {
+      return QueueRank::kUrgent;
+    }
+    const bool is_low = priority == JobPriority::kLow;
+    if (has_idle_cell) {
+      return is_low ? QueueRank::kGuaranteedLow : QueueRank::kGuaranteed;
+    }
+    return is_low ? QueueRank::kBorrowingLow : QueueRank::kBorrowing;
+  }
+
+  bool TryPlace(const ClusterState& state, const QueuedJob& queued, Instant now, PassResult& result,
+                BlockedJobs& blocked) {
+    const JobEntry& entry = *state.FindJob(queued.job);
+    if (!placer_.CanEverRun(state, queued.job)) {
+      result.refusals.push_back({queued.job, ResultCode::kJobNeverFits});
+      return false;
+    }
+    if (HasFailedForGood(entry)) {
+      result.refusals.push_back({queued.job, ResultCode::kRetryBudgetExhausted});
+      return false;
+    }
+    const GangShape& shape = entry.spec->shape();
+    const bool is_reserved = reservations_.Find(queued.job) != nullptr;
+    if (blocked.Contains(queued.team, shape) && !is_reserved) {
+      blocked.Add(queued.job, queued.team, shape);
+      return false;
+    }
+    const std::uint32_t limit = state.team(queued.team).team.retry_budget_per_hour();
+    if (IsRetry(entry) && !retry_budget_.MayRetry(queued.team, limit, now)) {
+      return false;
+    }
+    if (PlaceQueued(state, queued.job, queued.rank >= QueueRank::kBorrowing, now, result)) {
+      return true;
+    }
+    if (!PlanReclaim(state, queued.job, result)) {
+      blocked.Add(queued.job, queued.team, shape);
+    }
+    return false;
+  }
+
+  [[nodiscard]] bool HasFailedForGood(const JobEntry& job) const {
+    return job.failed_on.size() >= options_.max_failed_workers ||
+           job.failures >= options_.max_failures;
+  }
+
+  [[nodiscard]] static bool IsRetry(const JobEntry& job) {
+    return job.stop_reason == StopReason::kAttemptFailed ||
+           job.stop_reason == StopReason::kStartDeadline;
+  }
+
+  bool PlaceQueued(const ClusterState& state, JobId job, bool is_holding, Instant now,
+                   PassResult& result) {
+    const Reservation* reservation = is_holding ? reservations_.Find(job) : nullptr;
+    if (reservation != nullptr) {
+      Hold(state, *reservation, -1);
+    }
+    auto placement = PlaceAwayFromFailures(state, job);
+    if (!placement && reservation != nullptr) {
+      Hold(state, *reservation, 1);
+    }
+    if (!placement) {
+      return false;
+    }
+    reservations_.Remove(job);
+    const JobEntry& entry = *state.FindJob(job);
+    if (IsRetry(entry)) {
+      retry_budget_.Count(entry.team, now);
+    }
+    result.allocations += placement->allocations().size();
+    result.placements.push_back(std::move(*placement));
+    return true;
+  }
+
+  // Prefers workers on which the job has not failed; takes another only when there is no choice.
+  std::optional<Placement> PlaceAwayFromFailures(const ClusterState& state, JobId job) {
+    const std::vector<WorkerId>& failed_on = state.FindJob(job)->failed_on;
+    std::vector<std::int32_t> hidden;
+    for (const WorkerId it : failed_on) {
+      hidden.push_back(std::max(placer_.packing().rooms().room(it).free, 0));
+      placer_.KeepFree(state, it, hidden.back());
+    }
+    auto placement = placer_.PlaceNext(state, job);
+    for (std::size_t n = 0; n < failed_on.size(); ++n) {
+      placer_.KeepFree(state, failed_on[n], -hidden[n]);
+    }
+    const bool has_no_choice = !placement && !failed_on.empty();
+    return has_no_choice ? placer_.PlaceNext(state, job) : std::move(placement);
+  }
+
+  bool PlanReclaim(const ClusterState& state, JobId job, PassResult& result) {
+    const auto plan = placer_.PlanReclaim(state, job);
+    if (!plan) {
+      return false;
+    }
+    for (const JobId it : plan->victims) {
+      AddStop(state, it, result);
+    }
+    return true;
+  }
+
+  static void AddStop(const ClusterState& state, JobId job, PassResult& result) {
+    const bool is_known =
+        std::ranges::any_of(result.stops, [job](const StopRequested& it) { return it.job == job; });
+    if (!is_known) {
+      const std::uint32_t attempt = state.FindJob(job)->attempt;
+      result.stops.push_back({job, attempt, StopReason::kReclaim, std::nullopt});
+    }
+  }
+
+  void Hold(const ClusterState& state, const Reservation& reservation, int sign) {
+    for (const WorkerId it : reservation.workers) {
+      placer_.KeepFree(state, it, sign * reservation.accelerators);
+    }
+  }
+
+  void HoldReservations(const ClusterState& state, int sign) {
+    for (const auto& [job, reservation] : reservations_.all()) {
+      Hold(state, reservation, sign);
+    }
+  }
+
+  void Backfill(const ClusterState& state, Instant now, PassResult& result,
+                const BlockedJobs& blocked) {
+    const Duration time = reservations_.ShortestWait(state, estimates_, start_times_, now);
+    if (reservations_.all().empty() || time == Duration::zero()) {
+      return;
+    }
+    std::size_t tries = 0;
+    HoldReservations(state, -1);
+    for (const JobId job : blocked.jobs()) {
+      const JobEntry& entry = *state.FindJob(job);
+      const bool is_short = estimates_.Quantile(*entry.spec, kBackfillQuantile) <= time;
+      const bool is_reserved = reservations_.Find(job) != nullptr;
+      if (!is_short || is_reserved || result.allocations >= options_.max_allocations_per_call) {
+        continue;
+      }
+      if (++tries > options_.max_backfill_tries) {
+        break;
+      }
+      (void)PlaceQueued(state, job, false, now, result);
+    }
+    HoldReservations(state, 1);
+  }
+
+  // The oldest jobs first, whatever their team's share, so that each waits a bounded time.
+  void Reserve(const ClusterState& state, const BlockedJobs& blocked) {
+    std::vector<JobId> oldest = blocked.jobs();
+    std::sort(oldest.begin(), oldest.end());
+    for (const JobId job : oldest) {
+      if (reservations_.all().size() >= options_.max_reservations) {
+        return;
+      }
+      const bool may_borrow = state.team(state.FindJob(job)->team).team.may_borrow();
+      if (may_borrow && reservations_.Find(job) == nullptr) {
+        reservations_.Add(state, placer_.packing().rooms(), job);
+      }
+    }
+  }
+
+  void StopOverrun(const ClusterState& state, PassResult& result) {
+    for (const JobId job : reservations_.OverrunBackfill(state)) {
+      AddStop(state, job, result);
+    }
+  }
+
+  // Changes of condition come last: before the placements they would void the guaranteed ones.
+  std::vector<RecordBody> ToRecords(const ClusterState& state, Instant now, PassResult result) {
+    std::vector<RecordBody> records;
+    for (const StopRequested& it : result.stops) {
+      records.emplace_back(it);
+    }
+    for (const JobRefused& it : result.refusals) {
+      records.emplace_back(it);
+    }
+    if (!result.placements.empty()) {
+      records.emplace_back(JobsPlaced{state.applied_offset(), std::move(result.placements)});
+    }
+    for (WorkerConditionChanged& it : quarantine_.Decide(state, now)) {
+      records.emplace_back(std::move(it));
+    }
+    return records;
+  }
+
   P placer_;
+  DecisionOptions options_;
+  detail::ChangeFollower follower_;
+  RunTimeEstimates estimates_;
+  StartTimes start_times_;
+  Quarantine quarantine_;
+  RetryBudget retry_budget_;
+  Reservations reservations_;
 };
 
 }  // namespace clementineloom
--- /dev/null
+++ b/include/clementineloom/decision/pass_placer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+
+#include "clementineloom/decision/placer.h"
+#include "clementineloom/decision/reclaim_plan.h"
+
+namespace clementineloom {
+
+/// @brief A Placer that places many jobs in one pass, each beside those before it, and that knows
+/// the teams' guarantees.
+template <class T>
+concept PassPlacer = Placer<T> &&
+    requires(T placer, const T& view, const ClusterState& state, JobId job, TeamId team,
+             const GangShape& shape, WorkerId worker, std::int32_t accelerators) {
+  placer.BeginPass(state);
+  { placer.PlaceNext(state, job) } -> std::same_as<std::optional<Placement>>;
+  { placer.PlanReclaim(state, job) } -> std::same_as<std::optional<ReclaimPlan>>;
+  placer.KeepFree(state, worker, accelerators);
+  { view.HasIdleCell(team, shape) } -> std::same_as<bool>;
+  { view.CanEverRun(state, job) } -> std::same_as<bool>;
+  view.packing();
+};
+
+}  // namespace clementineloom
--- /dev/null
+++ b/include/clementineloom/decision/vacate_stops.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <set>
+#include <vector>
+
+#include "clementineloom/state/cluster_state.h"
+#include "clementineloom/state/records/stop_requested.h"
+
+namespace clementineloom {
+
+/// @brief Stops for the jobs on workers that are lost or leaving or out of service, one a job.
+[[nodiscard]] std::vector<StopRequested> VacateStops(const ClusterState& state,
+                                                     const std::set<WorkerId>& workers);
+
+}  // namespace clementineloom
