Add a policy benchmark with the first-fit FIFO baseline

Drawn workloads for both deployments run under virtual time against workers that are capacity plus a finish time. Two baselines: one queue for the cluster (the base of the ratios) and one queue for each team, so that the ratios can also be read against a baseline without head-of-line blocking between teams. Both refuse jobs that never fit and quarantine a worker after three failures, so that they do not lose only by blocking for ever. Guarantees are checked by a search written apart from the placement code.

Ruled out: only counting whole gangs for fragmentation.

Conclusion: the baseline is in place and repeatable; PolicyBench.RunTwice_WithSameSeeds_PrintsTheSame compares two runs.

--- /dev/null
+++ b/bench/check_repeatable.cmake
@@ -0,0 +1,11 @@
+# Runs a benchmark twice at a small size; fails unless both runs succeed and print the same.
+foreach(run first second)
+  execute_process(COMMAND ${PROGRAM} --seeds 2 --hours 1 OUTPUT_VARIABLE ${run} RESULT_VARIABLE status)
+  if(NOT status EQUAL 0)
+    message(FATAL_ERROR "${PROGRAM} ended with ${status}")
+  endif()
+endforeach()
+message("${first}")
+if(NOT first STREQUAL second)
+  message(FATAL_ERROR "Two runs with the same seeds differ:\n${second}")
+endif()
--- /dev/null
+++ b/bench/support/arrival.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "clementineloom/model/instant.h"
+#include "clementineloom/model/job_spec.h"
+#include "support/size_class.h"
+
+namespace clementineloom::bench {
+
+/// @brief A job of a workload, with the run time that the scheduler is not told.
+struct Arrival {
+  std::string key;
+  JobSpec spec;
+  Instant at;
+  Duration run_time{0};
+  SizeClass size_class = SizeClass::kSmall;
+  /// Whether the configured capacity can hold it.
+  bool can_run = true;
+
+  friend auto operator<=>(const Arrival&, const Arrival&) = default;
+};
+
+}  // namespace clementineloom::bench
--- /dev/null
+++ b/bench/support/queue_scope.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace clementineloom::bench {
+
+/// @brief Whose later jobs wait behind the oldest job that does not fit.
+enum class QueueScope : std::uint8_t { kCluster, kTeam };
+
+}  // namespace clementineloom::bench
--- /dev/null
+++ b/bench/support/run_observer.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "clementineloom/model/instant.h"
+#include "clementineloom/state/cluster_state.h"
+#include "support/guarantee_accounting.h"
+#include "support/run_figures.h"
+
+namespace clementineloom::bench {
+
+/// @brief Collects the figures of a run. Thread safety: none.
+class RunObserver {
+ public:
+  explicit RunObserver(GuaranteeAccounting accounting) : accounting_(accounting) {}
+
+  void AddCompletion(SizeClass size_class, Duration time) {
+    times_[static_cast<std::size_t>(size_class)].push_back(time);
+  }
+
+  /// @brief Notes the state that holds from `now` on, until the next call.
+  void AddState(const ClusterState& state, Instant now);
+
+  /// @brief The figures so far; those of the records and of the work are left at 0.
+  [[nodiscard]] RunFigures Figures() const;
+
+ private:
+  // The measured properties of a state, each to be weighted with the time it held.
+  struct Sample {
+    bool has_waiting = false;
+    double free = 0;
+    double unusable = 0;
+    double splintered = 0;
+    double capacity = 0;
+    double largest_placeable = 0;
+  };
+
+  void Accumulate(Instant now);
+  void CheckGuarantees(const ClusterState& state);
+  [[nodiscard]] static Sample Measure(const ClusterState& state);
+
+  const GuaranteeAccounting accounting_;
+  std::array<std::vector<Duration>, kSizeClasses> times_;
+  Instant last_at_;
+  Sample last_;
+  Sample sums_;
+  double waiting_time_ = 0;
+  RunFigures figures_;
+};
+
+}  // namespace clementineloom::bench
--- /dev/null
+++ b/bench/support/worker_loss.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "clementineloom/model/instant.h"
+
+namespace clementineloom::bench {
+
+/// @brief A worker that is gone for a while and then registers again.
+struct WorkerLoss {
+  std::string worker;
+  Instant lost_at;
+  Instant back_at;
+
+  friend auto operator<=>(const WorkerLoss&, const WorkerLoss&) = default;
+};
+
+}  // namespace clementineloom::bench
