Plan an intent on a copy of the state, confirm it, and explain waiting jobs

Cause: operators state intents, and nothing may take effect before they have seen and confirmed what will start, move, wait or be refused.

MakePlan applies the edits to a copy and lets a copy of the engine decide until it has nothing left to do; stops count as acknowledged at once, so that a move shows its end.

Ruled out: letting the engine in use decide for the copy, because its estimates and indexes would learn from a rehearsal. Ruled out: comparing reasons and expected completions, because both move with time and not with a job's fate.

Before: no plans.

--- /dev/null
+++ b/include/clementineloom/decision/plan.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <compare>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/decision/guarantee_risk.h"
+#include "clementineloom/decision/plan_step.h"
+#include "clementineloom/model/config_revision.h"
+#include "clementineloom/state/records/config_edit.h"
+
+namespace clementineloom {
+
+/// @brief An operator's intent and its foreseen effects. Nothing takes effect before ConfirmPlan.
+///
+/// Thread safety: an immutable value.
+class Plan {
+ public:
+  struct Fields {
+    /// The configuration that the plan was computed against.
+    ConfigRevision base_revision;
+    std::vector<ConfigEdit> edits;
+    /// In order of job ids, one step at most for each job. A job without a step keeps its workers.
+    std::vector<PlanStep> steps;
+    /// Guarantees that cannot be reclaimed in full while the plan is in force.
+    std::vector<GuaranteeRisk> risks;
+    /// False when the rehearsal reached its limit; jobs may then have another fate than shown.
+    bool is_complete = true;
+
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  explicit Plan(Fields fields) : fields_(std::move(fields)) {}
+
+  [[nodiscard]] ConfigRevision base_revision() const { return fields_.base_revision; }
+  [[nodiscard]] const std::vector<ConfigEdit>& edits() const { return fields_.edits; }
+  [[nodiscard]] const std::vector<PlanStep>& steps() const { return fields_.steps; }
+  [[nodiscard]] const std::vector<GuaranteeRisk>& risks() const { return fields_.risks; }
+  [[nodiscard]] bool is_complete() const { return fields_.is_complete; }
+
+  /// @brief The step of a job, or nullptr when the plan does not concern it.
+  [[nodiscard]] const PlanStep* FindStep(JobId job) const;
+
+  friend auto operator<=>(const Plan&, const Plan&) = default;
+
+ private:
+  Fields fields_;
+};
+
+}  // namespace clementineloom
--- /dev/null
+++ b/include/clementineloom/decision/plan_rehearsal.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clementineloom/decision/plan.h"
+#include "clementineloom/errors/result.h"
+#include "clementineloom/state/cluster_state.h"
+#include "clementineloom/state/record_body.h"
+#include "clementineloom/state/records/config_edit.h"
+#include "clementineloom/state/stop_reason.h"
+
+namespace clementineloom {
+
+/// @brief A copy of a state on which an intent and the decisions that follow it are tried out.
+///
+/// Stops are taken as acknowledged at once, so that the end of a move is seen and not only its
+/// beginning. Thread safety: none.
+class PlanRehearsal {
+ public:
+  /// @brief Copies the state and applies the edits to the copy.
+  /// Errors: those of ConfigChanged, for example kUnknownTeam and kTeamInUse.
+  [[nodiscard]] static Result<PlanRehearsal> Create(const ClusterState& original,
+                                                    std::vector<ConfigEdit> edits);
+
+  /// @brief Applies records that the engine decided for state().
+  /// @return whether the engine should decide again: a record had an effect, and the limit of the
+  /// rehearsal is not reached
+  bool Append(std::vector<RecordBody> records);
+
+  /// @brief The copy with everything applied so far.
+  [[nodiscard]] const ClusterState& state() const { return copy_; }
+
+  /// @brief Compares the copy with the original.
+  /// @param original the state that Create was given, unchanged since
+  /// @param risks what the engine reports for state()
+  [[nodiscard]] Plan ToPlan(const ClusterState& original, std::vector<GuaranteeRisk> risks) const;
+
+ private:
+  // An engine that stops and places the same jobs in turn would never come to an end. A plan for
+  // the largest cluster moves at most its 110,000 running tasks, with three records for each.
+  static constexpr std::size_t kMaxRecords = 330'000;
+
+  PlanRehearsal(const ClusterState& original, std::vector<ConfigEdit> edits);
+
+  ApplyOutcome Apply(RecordBody body);
+  bool ApplyDecided(RecordBody body);
+  void AcknowledgeStops();
+  [[nodiscard]] std::optional<PlanStep> StepFor(JobId job, const JobEntry& before) const;
+  [[nodiscard]] std::string WaitReason(JobId job, const JobEntry& before) const;
+  [[nodiscard]] std::string PlaceReason(JobId job, PlanAction action, CapacityKind kind) const;
+  [[nodiscard]] StopReason stop_reason(JobId job) const;
+
+  ClusterState copy_;
+  ConfigRevision base_revision_;
+  std::vector<ConfigEdit> edits_;
+  // Why each job stopped last.
+  std::map<JobId, StopReason> stopped_;
+  std::size_t records_ = 0;
+};
+
+}  // namespace clementineloom
--- /dev/null
+++ b/tests/decision/plan_make_test.cc
@@ -0,0 +1,89 @@
+#include "clementineloom/decision/plan_make.h"
+
+#include "decision/plan_fixture.h"
+
+namespace clementineloom {
+namespace {
+
+using testing::ElementsAre;
+using testing::HasSubstr;
+
+class MakePlanTest : public PlanFixture {};
+
+// Guards against a plan that hides a move, or names another reason for it.
+TEST_F(MakePlanTest, MakePlan_DataCentreOutWithRoomElsewhere_MovesItsJobs) {
+  const JobId job = Submit(8, 2);
+  Settle();
+  const Plan plan = PlanOf({DataCentreEdit("north", false)});
+  const PlanStep* step = plan.FindStep(job);
+  ASSERT_NE(step, nullptr);
+  EXPECT_EQ(step->action, PlanAction::kMove);
+  EXPECT_THAT(step->workers, ElementsAre("south1", "south2"));
+  EXPECT_THAT(step->reason, HasSubstr("its data centre is out of service"));
+}
+
+// Guards against an intent that takes effect before it is confirmed.
+TEST_F(MakePlanTest, MakePlan_OfAnyIntent_LeavesStateUnchanged) {
+  const JobId job = Submit(8, 2);
+  Settle();
+  const LogOffset offset = state_.applied_offset();
+  (void)PlanOf({DataCentreEdit("north", false)});
+  EXPECT_EQ(state_.applied_offset(), offset);
+  EXPECT_EQ(state_.FindJob(job)->phase, JobPhase::kRunning);
+  EXPECT_TRUE(state_.data_centre(DataCentreId(0)).data_centre.in_service());
+}
+
+// Guards against a job that silently loses its workers.
+TEST_F(MakePlanTest, MakePlan_DataCentreOutWithoutRoomElsewhere_SaysWhichJobsWait) {
+  const JobId first = Submit(8, 2);
+  const JobId second = Submit(8, 2);
+  Settle();
+  const Plan plan = PlanOf({DataCentreEdit("north", false)});
+  ASSERT_NE(plan.FindStep(first), nullptr);
+  EXPECT_EQ(plan.FindStep(first)->action, PlanAction::kWait);
+  EXPECT_THAT(plan.FindStep(first)->reason, HasSubstr("loses its workers"));
+  EXPECT_EQ(plan.FindStep(second), nullptr);
+}
+
+// Guards against a return to service whose benefit the operator cannot see.
+TEST_F(MakePlanTest, MakePlan_DataCentreIn_StartsWaitingJobs) {
+  Change({DataCentreEdit("south", false)});
+  (void)Submit(8, 2);
+  const JobId waiting = Submit(8, 2);
+  Settle();
+  const Plan plan = PlanOf({DataCentreEdit("south", true)});
+  ASSERT_NE(plan.FindStep(waiting), nullptr);
+  EXPECT_EQ(plan.FindStep(waiting)->action, PlanAction::kStart);
+  EXPECT_THAT(plan.FindStep(waiting)->workers, ElementsAre("south1", "south2"));
+}
+
+// Guards against a job that can never run and is shown as merely waiting.
+TEST_F(MakePlanTest, MakePlan_WithJobThatNeverFits_RefusesIt) {
+  const JobId job = Submit(8, PlanTestEngine::kWorkersPerRack + 1);
+  const Plan plan = PlanOf({TeamEdit("new", true)});
+  ASSERT_NE(plan.FindStep(job), nullptr);
+  EXPECT_EQ(plan.FindStep(job)->action, PlanAction::kRefuse);
+}
+
+// Guards against a plan for edits that the state would void.
+TEST_F(MakePlanTest, MakePlan_OfImpossibleEdits_IsRefusedWithTheCodeOfTheEdit) {
+  (void)Submit(8, 1);
+  const auto in_use = PlanRefusal({DeleteTeam{"ops"}});
+  const auto unknown = PlanRefusal({DeleteTeam{"nobody"}});
+  ASSERT_TRUE(in_use && unknown);
+  EXPECT_EQ(in_use->code, ResultCode::kTeamInUse);
+  EXPECT_EQ(unknown->code, ResultCode::kUnknownTeam);
+}
+
+// Guards against two plans of the same state and intent that differ.
+TEST_F(MakePlanTest, MakePlan_Twice_GivesEqualPlans) {
+  (void)Submit(8, 2);
+  (void)Submit(4, 1);
+  Settle();
+  (void)Submit(8, 2);
+  const std::vector<ConfigEdit> edits = {DataCentreEdit("south", false), TeamEdit("new", false)};
+  EXPECT_EQ(PlanOf(edits), PlanOf(edits));
+}
+
+}  // namespace
+}  // namespace clementineloom
