Name risks and expected completions in plans

Cause: a plan has to name the guarantees at risk and the expected completion where it is known; both came out empty.

MakePlan asks the engine for its risks and its run time estimates if it has them (concepts RiskReporter and RunTimeForecaster). The median counts as the expectation. Running jobs get none, because their progress is not in the state.

Ruled out: the declared run time as a substitute, because it may be wrong by 10 times either way.

Before: both fields empty with every engine. After: MakePlan_WithEngineThatForecasts_NamesRisksAndExpectedCompletion passes.

Conclusion: any engine that reports them fills both fields.

--- a/include/clementineloom/decision/plan_make.h
+++ b/include/clementineloom/decision/plan_make.h
@@ -5,6 +5,7 @@
 
 #include "clementineloom/decision/plan.h"
 #include "clementineloom/decision/plan_engine.h"
+#include "clementineloom/decision/plan_forecast.h"
 #include "clementineloom/decision/plan_rehearsal.h"
 #include "clementineloom/errors/result.h"
 #include "clementineloom/model/instant.h"
@@ -13,6 +14,30 @@
 
 namespace clementineloom {
 
+/// @brief What the engine knows about the state of a rehearsal.
+/// @param deciding the engine that decided for the rehearsal
+/// @param engine the engine in use, which has learnt run times
+template <PlanEngine E>
+[[nodiscard]] PlanForecast MakePlanForecast(const ClusterState& original,
+                                            const ClusterState& rehearsed, const E& deciding,
+                                            const E& engine, Instant now) {
+  constexpr double kMedian = 0.5;
+  std::vector<GuaranteeRisk> risks;
+  if constexpr (RiskReporter<E>) {
+    risks = deciding.Risks(rehearsed);
+  }
+  std::vector<PlanCompletion> completions;
+  if constexpr (RunTimeForecaster<E>) {
+    for (const JobId job : original.waiting_jobs()) {
+      const Duration run_time = engine.estimates().Quantile(*original.FindJob(job)->spec, kMedian);
+      if (run_time != Duration::max()) {
+        completions.push_back({job, now + run_time});
+      }
+    }
+  }
+  return {.risks = std::move(risks), .completions = std::move(completions)};
+}
+
 /// @brief Foresees what an operator's intent leads to, on a copy of the state.
 ///
 /// A pure function of its arguments: neither the state nor the engine changes.
@@ -29,7 +54,7 @@
   E deciding(engine);
   while (rehearsal.Append(deciding.Decide(rehearsal.state(), now))) {
   }
-  return rehearsal.ToPlan(state, {});
+  return rehearsal.ToPlan(state, MakePlanForecast(state, rehearsal.state(), deciding, engine, now));
 }
 
 }  // namespace clementineloom
--- a/include/clementineloom/decision/plan_rehearsal.h
+++ b/include/clementineloom/decision/plan_rehearsal.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "clementineloom/decision/plan.h"
+#include "clementineloom/decision/plan_forecast.h"
 #include "clementineloom/errors/result.h"
 #include "clementineloom/state/cluster_state.h"
 #include "clementineloom/state/record_body.h"
@@ -36,8 +37,9 @@
 
   /// @brief Compares the copy with the original.
   /// @param original the state that Create was given, unchanged since
-  /// @param risks what the engine reports for state()
-  [[nodiscard]] Plan ToPlan(const ClusterState& original, std::vector<GuaranteeRisk> risks) const;
+  /// @param forecast what the engine reports for state(); completions only for waiting jobs,
+  /// because the progress of running ones is not known here
+  [[nodiscard]] Plan ToPlan(const ClusterState& original, const PlanForecast& forecast) const;
 
  private:
   // An engine that stops and places the same jobs in turn would never come to an end. A plan for
@@ -49,7 +51,8 @@
   ApplyOutcome Apply(RecordBody body);
   bool ApplyDecided(RecordBody body);
   void AcknowledgeStops();
-  [[nodiscard]] std::optional<PlanStep> StepFor(JobId job, const JobEntry& before) const;
+  [[nodiscard]] std::optional<PlanStep> StepFor(JobId job, const JobEntry& before,
+                                                const PlanForecast& forecast) const;
   [[nodiscard]] std::string WaitReason(JobId job, const JobEntry& before) const;
   [[nodiscard]] std::string PlaceReason(JobId job, PlanAction action, CapacityKind kind) const;
   [[nodiscard]] StopReason stop_reason(JobId job) const;
--- a/src/decision/plan_rehearsal.cc
+++ b/src/decision/plan_rehearsal.cc
@@ -50,6 +50,12 @@
 
 bool HoldsWorkers(const JobEntry& job) { return !job.allocations.empty(); }
 
+std::optional<Instant> ExpectedCompletion(const PlanForecast& forecast, JobId job) {
+  const auto it = std::ranges::lower_bound(forecast.completions, job, {}, &PlanCompletion::job);
+  const bool is_known = it != forecast.completions.end() && it->job == job;
+  return is_known ? std::optional(it->expected_at) : std::nullopt;
+}
+
 PlanStep WithoutWorkers(JobId id, PlanAction action, const JobEntry& job, std::string reason) {
   return {.job = id,
           .action = action,
@@ -86,17 +92,17 @@
   return has_effect && records_ < kMaxRecords;
 }
 
-Plan PlanRehearsal::ToPlan(const ClusterState& original, std::vector<GuaranteeRisk> risks) const {
+Plan PlanRehearsal::ToPlan(const ClusterState& original, const PlanForecast& forecast) const {
   Plan::Fields fields{.base_revision = base_revision_,
                       .edits = edits_,
                       .steps = {},
-                      .risks = std::move(risks),
+                      .risks = forecast.risks,
                       .is_complete = records_ < kMaxRecords};
   std::vector<JobId> jobs(original.waiting_jobs().begin(), original.waiting_jobs().end());
   jobs.insert(jobs.end(), original.active_jobs().begin(), original.active_jobs().end());
   std::ranges::sort(jobs);
   for (const JobId id : jobs) {
-    if (auto step = StepFor(id, *original.FindJob(id))) {
+    if (auto step = StepFor(id, *original.FindJob(id), forecast)) {
       fields.steps.push_back(*std::move(step));
     }
   }
@@ -131,7 +137,8 @@
   }
 }
 
-std::optional<PlanStep> PlanRehearsal::StepFor(JobId id, const JobEntry& before) const {
+std::optional<PlanStep> PlanRehearsal::StepFor(JobId id, const JobEntry& before,
+                                               const PlanForecast& forecast) const {
   const JobEntry* after = copy_.FindJob(id);
   if (after == nullptr || after->phase == JobPhase::kEnded) {
     const bool is_refused = after != nullptr && after->outcome == JobOutcome::kRefused;
@@ -153,7 +160,7 @@
                   .workers = WorkerNames(copy_, *after),
                   .kind = after->kind,
                   .reason = PlaceReason(id, action, after->kind),
-                  .expected_completion = std::nullopt};
+                  .expected_completion = ExpectedCompletion(forecast, id)};
 }
 
 StopReason PlanRehearsal::stop_reason(JobId id) const {
--- a/tests/decision/plan_make_test.cc
+++ b/tests/decision/plan_make_test.cc
@@ -10,6 +10,28 @@
 
 class MakePlanTest : public PlanFixture {};
 
+// An engine that reports one risk, and expects every job to run for kRunTime.
+class ForecastingEngine : public PlanTestEngine {
+ public:
+  static constexpr Duration kRunTime = std::chrono::minutes(7);
+
+  struct Estimates {
+    [[nodiscard]] static Duration Quantile(const JobSpec& /*spec*/, double /*quantile*/) {
+      return kRunTime;
+    }
+  };
+
+  explicit ForecastingEngine(GuaranteeRisk risk) : risk_(std::move(risk)) {}
+
+  [[nodiscard]] std::vector<GuaranteeRisk> Risks(const ClusterState& /*state*/) const {
+    return {risk_};
+  }
+  [[nodiscard]] Estimates estimates() const { return {}; }
+
+ private:
+  GuaranteeRisk risk_;
+};
+
 // Guards against a plan that hides a move, or names another reason for it.
 TEST_F(MakePlanTest, MakePlan_DataCentreOutWithRoomElsewhere_MovesItsJobs) {
   const JobId job = Submit(8, 2);
@@ -75,6 +97,18 @@
   EXPECT_EQ(unknown->code, ResultCode::kUnknownTeam);
 }
 
+// Guards against a plan that keeps back what the engine knows.
+TEST_F(MakePlanTest, MakePlan_WithEngineThatForecasts_NamesRisksAndExpectedCompletion) {
+  const JobId job = Submit(8, 1);
+  const GuaranteeRisk risk{.team = "ops", .guarantee_index = 0, .shape = Shape(8, 1), .shapes = 1};
+  const ForecastingEngine engine(risk);
+  const Plan plan = testing_support::ValueOrDie(
+      [&] { return MakePlan(state_, {DataCentreEdit("north", false)}, engine, kNow); });
+  EXPECT_THAT(plan.risks(), ElementsAre(risk));
+  ASSERT_NE(plan.FindStep(job), nullptr);
+  EXPECT_EQ(plan.FindStep(job)->expected_completion, kNow + ForecastingEngine::kRunTime);
+}
+
 // Guards against two plans of the same state and intent that differ.
 TEST_F(MakePlanTest, MakePlan_Twice_GivesEqualPlans) {
   (void)Submit(8, 2);
