--- /dev/null
+++ b/src/platform/renew_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+
+#include "clementineloom/model/instant.h"
+#include "platform/task_key.h"
+
+namespace clementineloom::platform {
+
+/// @brief Extends the lease of a running task from now on.
+struct RenewCommand {
+  TaskKey key;
+  Duration lease{10'000};
+
+  friend auto operator<=>(const RenewCommand&, const RenewCommand&) = default;
+};
+
+}  // namespace clementineloom::platform
