Add stand-ins of the log, the instance list and the workers, and their clients

Cause: the daemons need the platform's services in tests and in the demonstration, with the faults that the requirements name.

Ruled out: the daemons' net::HttpServer for the stand-ins; it cannot lose an answer or make open connections silent, and the daemons must not be able to. Also ruled out: a timer for each reservation and lease; the task table computes the state of a task from the time of the call, so that tests use a clock of their own.

--- /dev/null
+++ b/tests/fakes/query.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace clementineloom::fakes {
+
+/// @brief The path of a request target, without its query.
+[[nodiscard]] std::string_view PathOf(std::string_view target);
+
+/// @brief The unsigned number of a key in the query of a target, or a default without one.
+[[nodiscard]] std::uint64_t QueryNumber(std::string_view target, std::string_view key,
+                                        std::uint64_t fallback);
+
+}  // namespace clementineloom::fakes
--- /dev/null
+++ b/tests/fakes/signal_wait.cc
@@ -0,0 +1,29 @@
+#include "fakes/signal_wait.h"
+
+#include <csignal>
+
+namespace clementineloom::fakes {
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void WaitForStopSignal() {
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+}  // namespace clementineloom::fakes
