Check settings and cluster documents, and report every mistake with its place

Cause: a daemon that starts with a mistaken setting fails later and far from the mistake; operators need number, file, line and field of all mistakes at once.

Ruled out: positions from Boost.JSON, which keeps none; a scanner of keys and lines stands beside the parser. Also ruled out: a schema library; the relations between keys (leases, addresses, capacity) need code in any case, and one table of keys serves the checker, the reader and docs/configuration.md.

--- /dev/null
+++ b/src/settings/daemon_fields.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <vector>
+
+#include "settings/common_settings.h"
+#include "settings/gateway_settings.h"
+#include "settings/scheduler_settings.h"
+#include "settings/settings_field.h"
+
+namespace clementineloom::settings {
+
+/// @brief Keys that both daemons have. Thread safety of all: constant data.
+[[nodiscard]] const std::vector<SettingsField<CommonSettings>>& CommonFields();
+
+/// @brief Keys of loom-gateway besides the common ones.
+[[nodiscard]] const std::vector<SettingsField<GatewaySettings>>& GatewayFields();
+
+/// @brief Keys of loom-scheduler besides the common ones.
+[[nodiscard]] const std::vector<SettingsField<SchedulerSettings>>& SchedulerFields();
+
+}  // namespace clementineloom::settings
--- /dev/null
+++ b/src/settings/key_lines.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementineloom::settings {
+
+/// @brief The line of every key path and list element of a JSON text with comments.
+///
+/// Boost.JSON keeps no positions. This scanner tracks only keys, nesting and lines, and expects a
+/// text that Boost.JSON has parsed without an error.
+class KeyLines {
+ public:
+  [[nodiscard]] static KeyLines Of(std::string_view text);
+
+  /// @brief The line of a path such as "teams[1].name", or of its nearest parent that has one.
+  [[nodiscard]] std::size_t LineOf(std::string path) const;
+
+  /// @brief Paths of keys that an object has twice; the parser keeps only the last.
+  [[nodiscard]] const std::vector<std::string>& duplicates() const { return duplicates_; }
+
+ private:
+  friend class KeyScanner;
+
+  std::map<std::string, std::size_t> lines_;
+  std::vector<std::string> duplicates_;
+};
+
+}  // namespace clementineloom::settings
--- /dev/null
+++ b/src/settings/load_settings.cc
@@ -0,0 +1,34 @@
+#include "settings/load_settings.h"
+
+#include <utility>
+
+namespace clementineloom::settings {
+namespace {
+
+template <class T>
+Result<T> ValueOf(Checked<T> checked) {
+  if (checked.problems.empty()) {
+    return std::move(checked.value);
+  }
+  std::string detail;
+  for (const Problem& it : checked.problems) {
+    detail += (detail.empty() ? "" : "\n") + ToText(it);
+  }
+  return Refuse(checked.problems.front().code, std::move(detail));
+}
+
+}  // namespace
+
+Result<GatewaySettings> LoadGatewaySettings(const std::string& file) {
+  return ValueOf(CheckGatewaySettings(file));
+}
+
+Result<SchedulerSettings> LoadSchedulerSettings(const std::string& file) {
+  return ValueOf(CheckSchedulerSettings(file));
+}
+
+Result<ClusterDocument> LoadClusterDocument(const std::string& file) {
+  return ValueOf(CheckClusterDocument(file));
+}
+
+}  // namespace clementineloom::settings
