Answer HEAD without a body, and drain without cutting off connections

Cause: an answer or a refusal of a HEAD request was written with its body, which the caller takes for the start of the next answer; a drain reset connections that the kernel had accepted and idle ones whose request was on its way; idle connections to addresses that are no longer called stayed open.

Ruled out: dropping Content-Length of HEAD answers; callers ask for it.

Result: the server writes only the header of HEAD answers, a drain takes the backlog and keeps idle connections for a grace time of 200 ms, and idle connections of the client are closed by age. A server names the reason of its own refusals to an observer.

--- a/src/net/client_call.h
+++ b/src/net/client_call.h
@@ -16,6 +16,8 @@
   HttpRequest request;
   /// Time for the whole call: connect, send and receive.
   std::chrono::milliseconds timeout{5'000};
+  /// A pooled connection that was idle for longer is not used; the client's own limit holds too.
+  std::chrono::milliseconds max_idle = std::chrono::hours(1);
 
   friend auto operator<=>(const ClientCall&, const ClientCall&) = default;
 };
--- a/src/net/detail/beast_conversion.cc
+++ b/src/net/detail/beast_conversion.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -47,6 +48,15 @@
   }
 }
 
+BeastResponse HeaderOf(const HttpResponse& response, bool keep_alive) {
+  BeastResponse message;
+  message.version(11);
+  message.result(static_cast<unsigned>(response.status));
+  InsertHeaders(message, response.headers);
+  message.keep_alive(keep_alive);
+  return message;
+}
+
 }  // namespace
 
 HttpRequest FromBeast(BeastRequest message) {
@@ -56,7 +66,18 @@
 
 HttpResponse FromBeast(BeastResponse message) {
   return HttpResponse{static_cast<int>(message.result_int()), CopyHeaders(message),
-                      std::move(message.body())};
+                      std::move(message.body()), std::nullopt};
+}
+
+HttpResponse HeadFromBeast(BeastResponse message) {
+  std::uint64_t length = 0;
+  const auto text = message[http::field::content_length];
+  const bool has_length = boost::conversion::try_lexical_convert(text, length);
+  HttpResponse response = FromBeast(std::move(message));
+  if (has_length) {
+    response.head_length = length;
+  }
+  return response;
 }
 
 BeastRequest ToBeast(const HttpRequest& request, const std::string& host) {
@@ -72,14 +93,21 @@
 }
 
 BeastResponse ToBeast(const HttpResponse& response, bool keep_alive) {
-  BeastResponse message;
-  message.version(11);
-  message.result(static_cast<unsigned>(response.status));
-  InsertHeaders(message, response.headers);
+  BeastResponse message = HeaderOf(response, keep_alive);
   message.body() = response.body;
-  message.keep_alive(keep_alive);
   message.prepare_payload();
   return message;
 }
 
+BeastResponse HeadToBeast(const HttpResponse& response, bool keep_alive) {
+  BeastResponse message = HeaderOf(response, keep_alive);
+  // The body itself is left out: the caller would take it for the next answer.
+  if (!response.body.empty()) {
+    message.content_length(response.body.size());
+  } else if (response.head_length) {
+    message.content_length(*response.head_length);
+  }
+  return message;
+}
+
 }  // namespace clementineloom::net::detail
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -96,7 +97,7 @@
     const auto deadline = Clock::now() + call.timeout;
     const CallId id = call.id;
     error_code ec;
-    ConnectionPtr connection = TakeIdle(call.address);
+    ConnectionPtr connection = TakeIdle(call.address, call.max_idle);
     if (connection == nullptr) {
       connection = co_await Connect(call, deadline, ec);
     }
@@ -110,16 +111,17 @@
     sink_(co_await Exchange(std::move(connection), call, deadline));
   }
 
-  ConnectionPtr TakeIdle(const std::string& address) {
-    auto& idle = idle_[address];
-    const auto oldest = Clock::now() - options_.max_idle;
-    while (!idle.empty()) {
+  ConnectionPtr TakeIdle(const std::string& address, std::chrono::milliseconds max_idle) {
+    const auto entry = idle_.find(address);
+    if (entry == idle_.end()) {
+      return nullptr;
+    }
+    auto& idle = entry->second;
+    const auto oldest = Clock::now() - std::min(options_.max_idle, max_idle);
+    // The others have been idle for even longer than the one at the back.
+    while (!idle.empty() && idle.back()->idle_since >= oldest) {
       ConnectionPtr connection = std::move(idle.back());
       idle.pop_back();
-      if (connection->idle_since < oldest) {
-        idle.clear();  // The others have been idle for even longer.
-        return nullptr;
-      }
       if (IsUsable(*connection)) {
         return connection;
       }
@@ -168,10 +170,15 @@
     co_await http::async_read(connection->stream, buf, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
+      if (ec == beast::error::timeout) {
+        // What made this connection silent may have hit the others that were open before.
+        idle_.erase(call.address);
+      }
       co_return ClientResult{call.id, std::nullopt, RefusalOfExchange(ec, parser.got_some())};
     }
     const bool keep_alive = parser.get().keep_alive() && buf.size() == 0;
-    HttpResponse response = detail::FromBeast(parser.release());
+    HttpResponse response = call.request.method == "HEAD" ? detail::HeadFromBeast(parser.release())
+                                                          : detail::FromBeast(parser.release());
     if (!IsAnswerTo(call.request, response)) {
       co_return ClientResult{call.id, std::nullopt,
                              Refusal{ResultCode::kUpstreamFailed, RunState::kMayHaveRun,
@@ -199,6 +206,36 @@
     connection->stream.expires_never();
     connection->idle_since = now;
     idle.push_back(std::move(connection));
+    StartReaper();
+  }
+
+  // Runs only while there are idle connections, so that an idle process does not wake up.
+  void StartReaper() {
+    if (is_reaping_) {
+      return;
+    }
+    is_reaping_ = true;
+    reaper_.expires_after(options_.max_idle);
+    reaper_.async_wait([this](const error_code& ec) {
+      if (!ec) {
+        is_reaping_ = false;
+        CloseOldConnections();
+      }
+    });
+  }
+
+  void CloseOldConnections() {
+    const auto oldest = Clock::now() - options_.max_idle;
+    for (auto it = idle_.begin(); it != idle_.end();) {
+      auto& idle = it->second;
+      while (!idle.empty() && idle.front()->idle_since < oldest) {
+        idle.pop_front();
+      }
+      it = idle.empty() ? idle_.erase(it) : std::next(it);
+    }
+    if (!idle_.empty()) {
+      StartReaper();
+    }
   }
 
   const HttpClientOptions options_;
@@ -207,6 +244,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   // Idle connections of each address, the one used last at the back.
   std::unordered_map<std::string, std::deque<ConnectionPtr>> idle_;
+  asio::steady_timer reaper_{context_};
+  bool is_reaping_ = false;
   IoRing<ClientCall> calls_;
   // Last, so that it is joined before anything that it uses is destroyed.
   DutyThread thread_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -69,9 +69,10 @@
 
 class HttpServer::Impl {
  public:
-  Impl(HttpServerOptions options, Sink sink)
+  Impl(HttpServerOptions options, Sink sink, RefusalObserver observer)
       : options_(std::move(options)),
         sink_(std::move(sink)),
+        observer_(std::move(observer)),
         acceptor_(context_),
         work_(asio::make_work_guard(context_)),
         answers_(context_, options_.answer_ring,
@@ -120,15 +121,13 @@
 
   void BeginDrain() {
     asio::post(context_, [this] {
-      is_draining_ = true;
-      error_code ec;
-      acceptor_.close(ec);
-      for (Session* it : sessions_) {
-        if (it->is_idle) {
-          it->stream.cancel();
-        }
+      if (!is_draining_) {
+        is_draining_ = true;
+        TakeBacklog();
+        error_code ec;
+        acceptor_.close(ec);
+        asio::co_spawn(context_, CloseIdle(), asio::detached);
       }
-      NotifyIfDrained();
     });
   }
 
@@ -140,12 +139,47 @@
   std::uint16_t port() const { return port_; }
 
  private:
+  // Connections that the kernel has accepted already would be reset with the acceptor.
+  void TakeBacklog() {
+    error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec && sessions_.size() < options_.max_connections) {
+      Tcp::socket socket(context_);
+      acceptor_.accept(socket, ec);
+      if (!ec) {
+        StartSession(std::move(socket));
+      }
+    }
+  }
+
+  asio::awaitable<void> CloseIdle() {
+    error_code ec;
+    asio::steady_timer grace(context_, options_.drain_grace);
+    co_await grace.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    is_grace_over_ = true;
+    for (Session* it : sessions_) {
+      if (it->is_idle) {
+        it->stream.cancel();
+      }
+    }
+    NotifyIfDrained();
+  }
+
+  void StartSession(Tcp::socket socket) {
+    error_code ec;
+    socket.set_option(Tcp::no_delay(true), ec);
+    asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+  }
+
   asio::awaitable<void> Accept() {
     while (acceptor_.is_open()) {
       error_code ec;
       Tcp::socket socket =
           co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-      if (ec == asio::error::operation_aborted || is_draining_) {
+      if (is_draining_) {
+        if (!ec) {
+          StartSession(std::move(socket));
+        }
         co_return;
       }
       if (ec) {
@@ -155,10 +189,10 @@
         continue;
       }
       if (sessions_.size() >= options_.max_connections) {
+        Observe(ResultCode::kOverloaded);
         continue;  // Closes the socket.
       }
-      socket.set_option(Tcp::no_delay(true), ec);
-      asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+      StartSession(std::move(socket));
     }
   }
 
@@ -167,7 +201,7 @@
     sessions_.insert(&session);
     beast::flat_buffer buf;
     bool keep_alive = true;
-    while (keep_alive && !is_draining_) {
+    while (keep_alive && !is_grace_over_) {
       keep_alive = co_await ServeOne(session, buf);
     }
     error_code ec;
@@ -197,15 +231,18 @@
                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       if (!IsDisconnect(ec)) {
-        co_await Write(session, RefusalResponse(RefusalOfReadError(ec)), false);
+        const Refusal refusal = RefusalOfReadError(ec);
+        Observe(refusal.code);
+        co_await Write(session, RefusalResponse(refusal), false, false);
       }
       co_return false;
     }
     session.stream.expires_never();
     const bool wants_keep_alive = parser.get().keep_alive();
+    const bool is_head = parser.get().method() == http::verb::head;
     const HttpResponse response = co_await Exchange(detail::FromBeast(parser.release()));
     const bool keep_alive = wants_keep_alive && !is_draining_;
-    co_return co_await Write(session, response, keep_alive) && keep_alive;
+    co_return co_await Write(session, response, is_head, keep_alive) && keep_alive;
   }
 
   asio::awaitable<HttpResponse> Exchange(HttpRequest request) {
@@ -215,6 +252,7 @@
     pending_.emplace(id, &pending);
     if (!sink_(ServerRequest{id, std::move(request)})) {
       pending_.erase(id);
+      Observe(ResultCode::kQueueFull);
       co_return RefusalResponse(
           {ResultCode::kQueueFull, RunState::kDidNotRun, "request ring is full"});
     }
@@ -225,15 +263,30 @@
     co_return std::move(*pending.response);
   }
 
-  asio::awaitable<bool> Write(Session& session, const HttpResponse& response, bool keep_alive) {
+  asio::awaitable<bool> Write(Session& session, const HttpResponse& response, bool is_head,
+                              bool keep_alive) {
     error_code ec;
-    auto message = detail::ToBeast(response, keep_alive);
+    const auto message =
+        is_head ? detail::HeadToBeast(response, keep_alive) : detail::ToBeast(response, keep_alive);
+    http::response_serializer<http::string_body> serializer(message);
+    serializer.split(is_head);
     session.stream.expires_after(options_.request_timeout);
-    co_await http::async_write(session.stream, message,
-                               asio::redirect_error(asio::use_awaitable, ec));
+    if (is_head) {
+      co_await http::async_write_header(session.stream, serializer,
+                                        asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+      co_await http::async_write(session.stream, serializer,
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
     co_return !ec;
   }
 
+  void Observe(ResultCode code) {
+    if (observer_) {
+      observer_(code);
+    }
+  }
+
   void Deliver(ServerAnswer answer) {
     const auto it = pending_.find(answer.id);
     if (it == pending_.end()) {
@@ -245,7 +298,7 @@
   }
 
   void NotifyIfDrained() {
-    if (!is_draining_ || !sessions_.empty()) {
+    if (!is_grace_over_ || !sessions_.empty()) {
       return;
     }
     {
@@ -257,6 +310,7 @@
 
   const HttpServerOptions options_;
   const Sink sink_;
+  const RefusalObserver observer_;
   asio::io_context context_{1};
   Tcp::acceptor acceptor_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
@@ -265,6 +319,7 @@
   std::set<Session*> sessions_;
   std::uint64_t last_exchange_ = 0;
   bool is_draining_ = false;
+  bool is_grace_over_ = false;
   std::uint16_t port_ = 0;
 
   std::mutex mutex_;
@@ -276,8 +331,9 @@
 };
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(const std::string& name,
-                                                      HttpServerOptions options, Sink sink) {
-  auto impl = std::make_unique<Impl>(std::move(options), std::move(sink));
+                                                      HttpServerOptions options, Sink sink,
+                                                      RefusalObserver observer) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(sink), std::move(observer));
   BOOST_LEAF_CHECK(impl->Listen());
   impl->StartThread(name);
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,13 +23,16 @@
  public:
   /// Takes a request, or returns false if there is no room for it.
   using Sink = std::function<bool(ServerRequest)>;
+  /// Learns the reason of each refusal that the server makes by itself; runs on the I/O thread.
+  using RefusalObserver = std::function<void(ResultCode)>;
 
   /// @brief Binds, listens and starts the I/O thread.
   /// @param name of the I/O thread, at most 15 characters
   /// Errors: kAddressNotNumeric, kInvalidValue (the address cannot be bound).
   [[nodiscard]] static Result<std::unique_ptr<HttpServer>> Start(const std::string& name,
                                                                  HttpServerOptions options,
-                                                                 Sink sink);
+                                                                 Sink sink,
+                                                                 RefusalObserver observer = {});
 
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -38,7 +41,8 @@
   /// @brief Sends the answer of an exchange. An answer for a connection that has gone is dropped.
   void Answer(ExchangeId id, HttpResponse response);
 
-  /// @brief Stops accepting, closes idle connections and lets exchanges in progress finish.
+  /// @brief Stops accepting, lets exchanges in progress finish and closes idle connections after
+  /// HttpServerOptions::drain_grace.
   void BeginDrain();
 
   /// @brief Waits until every connection is closed. Precondition: BeginDrain was called.
--- a/src/net/http_server_options.h
+++ b/src/net/http_server_options.h
@@ -20,6 +20,8 @@
   std::chrono::milliseconds request_timeout{10'000};
   /// Time that a connection may stay open without a request.
   std::chrono::milliseconds idle_timeout{60'000};
+  /// Time that idle connections stay open after BeginDrain, for requests that are on their way.
+  std::chrono::milliseconds drain_grace{200};
   /// Answers that wait for the I/O thread.
   std::size_t answer_ring = 4096;
 
