Decide admission, retries and claims of requests in pure types

Cause: the gateway sent every request to any free worker and refused the others at once; it had no limit per team, no retry and no claim of idempotency keys.

Ruled out: priority between teams, because a large team that marks everything as high would starve a small one; it counts only within a team.

--- /dev/null
+++ b/include/clementineloom/routing/monotonic_time.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <chrono>
+
+namespace clementineloom {
+
+/// @brief A time of the monotonic clock, handed in by the caller; routing decisions read no clock.
+using MonotonicTime = std::chrono::steady_clock::time_point;
+
+}  // namespace clementineloom
--- /dev/null
+++ b/include/clementineloom/routing/request_completed.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+
+#include "clementineloom/errors/run_state.h"
+#include "clementineloom/routing/stored_answer.h"
+
+namespace clementineloom {
+
+/// @brief Record of the claims stream: the claimed request ran, or may have run.
+struct RequestCompleted {
+  std::string claim;
+  /// kRan or kMayHaveRun.
+  RunState run_state = RunState::kRan;
+  /// Absent when there was no whole answer or when it is too large to be kept.
+  std::optional<StoredAnswer> answer;
+
+  friend auto operator<=>(const RequestCompleted&, const RequestCompleted&) = default;
+};
+
+}  // namespace clementineloom
--- /dev/null
+++ b/include/clementineloom/routing/team_limit.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace clementineloom {
+
+/// @brief How many requests of a team one gateway has in progress at most. An immutable value.
+struct TeamLimit {
+  std::string team;
+  std::uint32_t max_concurrent = 0;
+
+  friend auto operator<=>(const TeamLimit&, const TeamLimit&) = default;
+};
+
+}  // namespace clementineloom
--- a/include/clementineloom/routing/upstream.h
+++ b/include/clementineloom/routing/upstream.h
@@ -14,8 +14,12 @@
   const WorkerId worker;
   const std::string address;
   const DataCentreId data_centre;
-  /// Requests that it runs at the same time.
+  /// Requests that one gateway has in progress there at most.
   const std::uint16_t slots = 8;
+  /// The name under which the instance list has it.
+  const std::string name = {};
+  /// Connections that it accepts from all gateways together.
+  const std::uint16_t connections = 64;
 
   friend auto operator<=>(const Upstream&, const Upstream&) = default;
 };
--- /dev/null
+++ b/tests/routing/outstanding_requests_test.cc
@@ -0,0 +1,56 @@
+#include "clementineloom/routing/outstanding_requests.h"
+
+#include <gtest/gtest.h>
+
+namespace clementineloom {
+namespace {
+
+class OutstandingRequestsTest : public testing::Test {
+ protected:
+  void Serve() {
+    requests_.Add(upstream_.worker);
+    requests_.Remove(upstream_.worker);
+    requests_.Answered(upstream_.worker);
+  }
+
+  const Upstream upstream_{WorkerId(1), "127.0.0.1:1", DataCentreId(0), 3};
+  MonotonicTime now_ = MonotonicTime(std::chrono::hours(1));
+  OutstandingRequests requests_;
+};
+
+// Guards against a burst to a worker that has just joined.
+TEST_F(OutstandingRequestsTest, HasRoom_AfterJoin_GrowsByOneWithEachAnswer) {
+  requests_.Joined(upstream_.worker);
+  requests_.Add(upstream_.worker);
+  EXPECT_FALSE(requests_.HasRoom(upstream_));
+  requests_.Remove(upstream_.worker);
+  Serve();
+  requests_.Add(upstream_.worker);
+  EXPECT_TRUE(requests_.HasRoom(upstream_));
+}
+
+// Guards against more requests than a worker has slots.
+TEST_F(OutstandingRequestsTest, HasRoom_AfterManyAnswers_EndsAtSlots) {
+  for (int n = 0; n < 10; ++n) {
+    Serve();
+  }
+  for (int n = 0; n < 3; ++n) {
+    EXPECT_TRUE(requests_.HasRoom(upstream_));
+    requests_.Add(upstream_.worker);
+  }
+  EXPECT_FALSE(requests_.HasRoom(upstream_));
+}
+
+// Guards against a dead worker that attracts requests because it has none in progress.
+TEST_F(OutstandingRequestsTest, HasRoom_AfterFailures_PausesForDoublingTime) {
+  requests_.SetNow(now_);
+  requests_.Failed(upstream_.worker);
+  requests_.Failed(upstream_.worker);
+  requests_.SetNow(now_ + std::chrono::milliseconds(199));
+  EXPECT_FALSE(requests_.HasRoom(upstream_));
+  requests_.SetNow(now_ + std::chrono::milliseconds(200));
+  EXPECT_TRUE(requests_.HasRoom(upstream_));
+}
+
+}  // namespace
+}  // namespace clementineloom
