Admit, limit and repeat requests on the routing duty

Cause: a request was refused when all slots were busy and when its connection failed.

Ruled out: a queue for each worker; a request would wait behind a slow one while another worker is free.

Result: requests wait in a bounded room, fair between teams; idempotent requests and those that did not run are repeated within a budget; refusals and retries are counted by reason. Stale views refuse requests.

--- /dev/null
+++ b/src/gateway/admin_duty.cc
@@ -0,0 +1,50 @@
+#include "gateway/admin_duty.h"
+
+#include <string>
+#include <utility>
+
+#include "net/refusal_response.h"
+
+namespace clementineloom::gateway {
+namespace {
+
+constexpr int kServing = 200;
+constexpr int kNotServing = 503;
+
+net::HttpResponse Text(int status, std::string body) {
+  return {status, net::HttpHeaders().With("Content-Type", "text/plain"), std::move(body)};
+}
+
+}  // namespace
+
+void AdminDuty::Run() {
+  while (const auto request = requests_.Pop()) {
+    server_.Answer(request->id, Answer(request->request));
+  }
+}
+
+net::HttpResponse AdminDuty::Answer(const net::HttpRequest& request) const {
+  if (request.method == "GET" && request.target == "/health") {
+    return Health();
+  }
+  if (request.method == "GET" && request.target == "/metrics") {
+    return Text(kServing, metrics_.Expose());
+  }
+  return net::RefusalResponse({ResultCode::kMalformedRequest, RunState::kDidNotRun,
+                               "only GET /health and GET /metrics are served here"});
+}
+
+net::HttpResponse AdminDuty::Health() const {
+  if (health_.is_draining) {
+    return Text(kNotServing, "draining\n");
+  }
+  if (health_.is_outdated) {
+    return Text(kNotServing, "outdated\n");
+  }
+  if (!health_.is_control_caught_up || !health_.is_claims_caught_up) {
+    return Text(kNotServing, "catching_up\n");
+  }
+  return Text(kServing, "serving\n");
+}
+
+}  // namespace clementineloom::gateway
--- /dev/null
+++ b/src/gateway/claim_append.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace clementineloom::gateway {
+
+/// @brief An encoded record for the claims stream. An immutable value.
+struct ClaimAppend {
+  std::string payload;
+  /// The claim that the record makes; empty for a record that ends one.
+  std::string claim;
+
+  friend auto operator<=>(const ClaimAppend&, const ClaimAppend&) = default;
+};
+
+}  // namespace clementineloom::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,9 +4,10 @@
 #include <random>
 #include <utility>
 
-#include "clementineloom/concurrency/bounded_ring.h"
 #include "clementineloom/concurrency/duty_thread.h"
+#include "clementineloom/errors/result_code_table.h"
 #include "clementineloom/routing/power_of_two_chooser.h"
+#include "gateway/metric_names.h"
 #include "gateway/routing_duty.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -17,33 +18,44 @@
  public:
   explicit Impl(const GatewayOptions& options)
       : events_(options.event_ring),
+        claims_(options.event_ring),
         upstreams_("upstream-io", options.client, [this](net::ClientResult result) {
           // May wait for the routing duty, which never waits for the upstream I/O thread.
           (void)events_.Push(std::move(result));
         }) {}
 
-  ~Impl() { events_.Close(); }
+  ~Impl() {
+    claims_.Close();
+    events_.Close();
+  }
 
   Result<void> Start(const GatewayOptions& options) {
-    BOOST_LEAF_ASSIGN(callers_, net::HttpServer::Start("caller-io", options.server,
-                                                       [this](net::ServerRequest request) {
-                                                         return events_.TryPush(std::move(request));
-                                                       }));
-    using Chooser = PowerOfTwoChooser<std::mt19937_64>;
-    thread_.emplace("routing", [this, seed = options.seed] {
-      RoutingDuty<Chooser>(events_, *callers_, upstreams_, Chooser(std::mt19937_64(seed))).Run();
-    });
+    auto take = [this](net::ServerRequest request) { return events_.TryPush(std::move(request)); };
+    auto count = [this](ResultCode code) {
+      metrics_.Count(kRefusals, "reason", ResultCodeName(code));
+    };
+    BOOST_LEAF_ASSIGN(callers_, net::HttpServer::Start("caller-io", options.server, take, count));
+    thread_.emplace("routing", [this, options] { Route(options); });
     return {};
   }
 
-  void SetView(RoutingView view) {
-    (void)events_.Push(std::make_shared<const RoutingView>(std::move(view)));
-  }
-
+  BoundedRing<RoutingEvent>& events() { return events_; }
+  BoundedRing<ClaimsEvent>& claims() { return claims_; }
   net::HttpServer& callers() { return *callers_; }
+  metrics::MetricRegistry& metrics() { return metrics_; }
 
  private:
+  void Route(const GatewayOptions& options) {
+    using Chooser = PowerOfTwoChooser<std::mt19937_64>;
+    RoutingDuty<Chooser>(events_, Responder(*callers_, metrics_), upstreams_,
+                         ClaimsPort(options.uses_claims ? &claims_ : nullptr, metrics_), metrics_,
+                         options.routing, Chooser(std::mt19937_64(options.seed)))
+        .Run();
+  }
+
+  metrics::MetricRegistry metrics_;
   BoundedRing<RoutingEvent> events_;
+  BoundedRing<ClaimsEvent> claims_;
   net::HttpClient upstreams_;
   std::unique_ptr<net::HttpServer> callers_;
   // Last, so that it is joined before anything that it uses is destroyed.
@@ -59,7 +71,10 @@
 Gateway::Gateway(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 Gateway::~Gateway() = default;
 
-void Gateway::SetView(RoutingView view) { impl_->SetView(std::move(view)); }
+void Gateway::SetView(RoutingView view) {
+  (void)impl_->events().Push(
+      ViewUpdate{std::make_shared<const RoutingView>(std::move(view)), MonotonicTime::max()});
+}
 
 bool Gateway::Drain(std::chrono::milliseconds timeout) {
   impl_->callers().BeginDrain();
@@ -68,4 +83,12 @@
 
 std::uint16_t Gateway::port() const { return impl_->callers().port(); }
 
+BoundedRing<RoutingEvent>& Gateway::routing_events() { return impl_->events(); }
+
+BoundedRing<ClaimsEvent>& Gateway::claims_events() { return impl_->claims(); }
+
+metrics::MetricRegistry& Gateway::metrics() { return impl_->metrics(); }
+
+Responder Gateway::responder() { return Responder(impl_->callers(), impl_->metrics()); }
+
 }  // namespace clementineloom::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,13 +4,18 @@
 #include <cstdint>
 #include <memory>
 
+#include "clementineloom/concurrency/bounded_ring.h"
 #include "clementineloom/errors/result.h"
 #include "clementineloom/routing/routing_view.h"
+#include "gateway/claims_event.h"
 #include "gateway/gateway_options.h"
+#include "gateway/responder.h"
+#include "gateway/routing_event.h"
+#include "metrics/metric_registry.h"
 
 namespace clementineloom::gateway {
 
-/// @brief The duties of loom-gateway: caller I/O, routing and upstream I/O, joined by rings.
+/// @brief The request path of loom-gateway: caller I/O, routing and upstream I/O, joined by rings.
 ///
 /// Thread safety: every member may be called from any thread.
 class Gateway {
@@ -23,7 +28,7 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// @brief Replaces the upstreams that get new requests.
+  /// @brief Replaces the upstreams that get new requests by a view that never becomes stale.
   void SetView(RoutingView view);
 
   /// @brief Stops accepting and waits for requests in progress. @return false on timeout.
@@ -32,6 +37,16 @@
   /// @brief The port that callers connect to.
   [[nodiscard]] std::uint16_t port() const;
 
+  /// @brief The ring into the routing duty.
+  [[nodiscard]] BoundedRing<RoutingEvent>& routing_events();
+
+  /// @brief The ring into the claims duty, which is started by the owner of the gateway and has to
+  /// end before the gateway does. Without GatewayOptions::uses_claims it stays empty.
+  [[nodiscard]] BoundedRing<ClaimsEvent>& claims_events();
+
+  [[nodiscard]] metrics::MetricRegistry& metrics();
+  [[nodiscard]] Responder responder();
+
  private:
   class Impl;
   explicit Gateway(std::unique_ptr<Impl> impl);
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "gateway/routing_options.h"
 #include "net/http_client_options.h"
 #include "net/http_server_options.h"
 
@@ -12,7 +13,10 @@
 struct GatewayOptions {
   net::HttpServerOptions server;
   net::HttpClientOptions client;
+  RoutingOptions routing;
   std::size_t event_ring = 4096;
+  /// Whether requests with an idempotency key go through a claims duty.
+  bool uses_claims = false;
   /// Seed of the choice between upstreams.
   std::uint64_t seed = 1;
 
--- /dev/null
+++ b/src/gateway/parse_caller_request.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "clementineloom/errors/result.h"
+#include "gateway/caller_request.h"
+#include "net/server_request.h"
+
+namespace clementineloom::gateway {
+
+/// @brief Reads the headers that the gateway acts on: X-Team, X-Priority and X-Request-Id.
+/// @param default_id X-Request-Id of a request that has none
+/// Errors: kMalformedRequest (X-Team is not a name, X-Priority is unknown).
+[[nodiscard]] Result<CallerRequest> ParseCallerRequest(net::ServerRequest request,
+                                                       const std::string& default_id,
+                                                       MonotonicTime received_at);
+
+}  // namespace clementineloom::gateway
--- /dev/null
+++ b/src/gateway/request_digest.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "net/http_request.h"
+
+namespace clementineloom::gateway {
+
+/// @brief SHA-1 of method, target and body as a version 5 UUID. It tells requests apart that use
+/// the same key by mistake; it is no protection against callers who construct collisions.
+[[nodiscard]] std::string RequestDigest(const net::HttpRequest& request);
+
+}  // namespace clementineloom::gateway
--- a/src/gateway/routing_duty.h
+++ b/src/gateway/routing_duty.h
@@ -1,87 +1,337 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "clementineloom/concurrency/bounded_ring.h"
 #include "clementineloom/routing/outstanding_requests.h"
+#include "clementineloom/routing/retry_policy.h"
+#include "clementineloom/routing/routing_view_of.h"
+#include "clementineloom/routing/team_loads.h"
 #include "clementineloom/routing/upstream_chooser.h"
+#include "clementineloom/routing/waiting_room.h"
+#include "gateway/attempt_refusal.h"
+#include "gateway/claims_port.h"
+#include "gateway/metric_names.h"
+#include "gateway/parse_caller_request.h"
+#include "gateway/responder.h"
 #include "gateway/routing_event.h"
+#include "gateway/routing_options.h"
 #include "net/http_client.h"
-#include "net/http_server.h"
-#include "net/refusal_response.h"
 
 namespace clementineloom::gateway {
 
-/// @brief Gives every request of a caller one answer: chooses an upstream, sends, answers.
+/// @brief Gives every request of a caller one answer: admits it, chooses an upstream, sends,
+/// repeats where that is allowed, answers.
 ///
 /// Thread safety: Run is called on the duty's thread; everything reaches it through the ring.
 template <UpstreamChooser Chooser>
 class RoutingDuty {
  public:
-  RoutingDuty(BoundedRing<RoutingEvent>& events, net::HttpServer& callers,
-              net::HttpClient& upstreams, Chooser chooser)
+  /// Precondition: the references outlive the duty.
+  RoutingDuty(BoundedRing<RoutingEvent>& events, Responder responder, net::HttpClient& upstreams,
+              ClaimsPort claims, metrics::MetricRegistry& metrics, const RoutingOptions& options,
+              Chooser chooser)
       : events_(events),
-        callers_(callers),
+        responder_(responder),
         upstreams_(upstreams),
+        claims_(claims),
+        metrics_(metrics),
+        options_(options),
         chooser_(std::move(chooser)),
-        view_(std::make_shared<const RoutingView>()) {}
+        waiting_(options.waiting_requests),
+        retries_(options.max_attempts, options.retry_budget_percent) {}
 
   /// @brief Handles events until the ring is closed and drained.
   void Run() {
-    while (auto event = events_.Pop()) {
-      std::visit([this](auto& it) { this->Handle(std::move(it)); }, *event);
+    while (true) {
+      auto event = NextEvent();
+      if (!event && events_.closed() && events_.size() == 0) {
+        return;
+      }
+      now_ = Clock::now();
+      outstanding_.SetNow(now_);
+      if (event) {
+        std::visit([this](auto& it) { this->Handle(std::move(it)); }, *event);
+      }
+      RefuseExpired();
+      DispatchWaiting();
     }
   }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
+  // A worker that is paused after a failure opens without an event; only looked at while requests
+  // wait.
+  static constexpr std::chrono::milliseconds kRecheckInterval{20};
+  // A pooled connection that was idle for longer is not used for a request that cannot be repeated,
+  // because the connection may have become silent.
+  static constexpr std::chrono::milliseconds kMaxIdleUnrepeatable{1'000};
+
   struct InProgress {
-    net::ExchangeId exchange;
+    CallerRequest request;
     WorkerId worker;
   };
 
-  void Handle(std::shared_ptr<const RoutingView> view) { view_ = std::move(view); }
+  std::optional<RoutingEvent> NextEvent() {
+    return waiting_.empty() ? events_.Pop() : events_.PopFor(kRecheckInterval);
+  }
+
+  void Handle(ViewUpdate update) {
+    control_view_ = std::move(update.view);
+    fresh_at_ = update.fresh_at;
+    UseView();
+  }
+
+  void Handle(ViewConfirmed confirmed) { fresh_at_ = std::max(fresh_at_, confirmed.fresh_at); }
+
+  void Handle(std::shared_ptr<const ListedWorkers> listed) {
+    listed_ = std::move(listed);
+    UseView();
+  }
+
+  void UseView() {
+    RoutingView view = listed_ ? LimitToListed(*control_view_, *listed_) : *control_view_;
+    std::unordered_set<WorkerId> present;
+    for (const Upstream& it : view_.upstreams()) {
+      present.insert(it.worker);
+    }
+    for (const Upstream& it : view.upstreams()) {
+      if (present.erase(it.worker) == 0) {
+        outstanding_.Joined(it.worker);
+      }
+    }
+    std::ranges::for_each(present, [this](WorkerId it) { outstanding_.Left(it); });
+    view_ = std::move(view);
+    metrics_.Set(kUpstreams, static_cast<double>(view_.upstreams().size()));
+  }
 
   void Handle(net::ServerRequest request) {
-    const Upstream* upstream = chooser_.Choose(*view_, outstanding_, {});
-    if (upstream == nullptr) {
-      Refuse(request.id, {ResultCode::kNoUpstream, RunState::kDidNotRun, "no upstream is free"});
+    const net::ExchangeId exchange = request.id;
+    const std::string id = options_.instance + "-" + std::to_string(exchange.value());
+    std::optional<CallerRequest> parsed;
+    const auto refusal = RefusalOf([&]() -> Result<void> {
+      BOOST_LEAF_AUTO(it, ParseCallerRequest(std::move(request), id, now_));
+      parsed.emplace(std::move(it));
+      return {};
+    });
+    if (refusal) {
+      responder_.Refuse(exchange, *refusal);
+      return;
+    }
+    retries_.AddRequest();
+    if (claims_.NeedsClaim(*parsed)) {
+      Claim(std::move(*parsed));
+    } else {
+      Admit(std::move(*parsed));
+    }
+  }
+
+  void Handle(ClaimedRequest claimed) { Admit(std::move(claimed.request)); }
+
+  void Claim(CallerRequest request) {
+    if (const auto refusal = RefusalAtArrival(request)) {
+      responder_.Refuse(request, *refusal);
+      return;
+    }
+    const net::ExchangeId exchange = request.exchange;
+    if (!claims_.Claim(std::move(request))) {
+      responder_.Refuse(exchange,
+                        {ResultCode::kQueueFull, RunState::kDidNotRun, "claims ring is full"});
+    }
+  }
+
+  void Admit(CallerRequest request) {
+    if (const auto refusal = RefusalAtArrival(request)) {
+      EndRefused(request, *refusal);
+      return;
+    }
+    // Taken before the arguments are evaluated, because the request is moved.
+    const std::string team = request.team;
+    const RequestPriority priority = request.priority;
+    auto shed = waiting_.Add(team, priority, now_ + options_.max_wait, std::move(request));
+    if (shed) {
+      EndRefused(*shed, {ResultCode::kOverloaded, RunState::kDidNotRun, "too many requests wait"});
+    }
+  }
+
+  [[nodiscard]] std::optional<Refusal> RefusalAtArrival(const CallerRequest& request) const {
+    if (view_.upstreams().empty()) {
+      return Refusal{ResultCode::kNoUpstream, RunState::kDidNotRun, "no worker is in service"};
+    }
+    if (!IsViewFresh()) {
+      return Refusal{ResultCode::kViewStale, RunState::kDidNotRun, "the log cannot be read"};
+    }
+    if (!LimitOf(request.team)) {
+      return Refusal{ResultCode::kUnknownTeam, RunState::kDidNotRun, request.team};
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] bool IsViewFresh() const { return now_ - fresh_at_ <= options_.max_view_age; }
+
+  [[nodiscard]] std::optional<std::uint32_t> LimitOf(const std::string& team) const {
+    if (team.empty()) {
+      return options_.anonymous_limit;
+    }
+    return view_.LimitOf(team);
+  }
+
+  [[nodiscard]] bool HasTeamRoom(const std::string& team) const {
+    return teams_.At(team) < LimitOf(team).value_or(0);
+  }
+
+  void DispatchWaiting() {
+    while (!waiting_.empty() && IsViewFresh()) {
+      const Upstream* upstream = chooser_.Choose(view_, outstanding_, {});
+      if (upstream == nullptr) {
+        return;
+      }
+      auto request =
+          waiting_.TakeNext([this](const std::string& team) { return HasTeamRoom(team); },
+                            [this](const std::string& team) { return teams_.At(team); });
+      if (!request) {
+        return;
+      }
+      Send(std::move(*request), *upstream);
+    }
+  }
+
+  void RefuseExpired() {
+    if (waiting_.empty() || now_ < next_expiry_check_) {
       return;
     }
+    next_expiry_check_ = now_ + kRecheckInterval;
+    metrics_.Set(kWaiting, static_cast<double>(waiting_.size()));
+    for (const CallerRequest& it : waiting_.TakeExpired(now_)) {
+      EndRefused(it, RefusalAfterWait(it));
+    }
+  }
+
+  [[nodiscard]] Refusal RefusalAfterWait(const CallerRequest& request) const {
+    if (const auto refusal = RefusalAtArrival(request)) {
+      return *refusal;
+    }
+    if (!HasTeamRoom(request.team)) {
+      return {ResultCode::kTeamLimitReached, RunState::kDidNotRun, request.team};
+    }
+    return {ResultCode::kOverloaded, RunState::kDidNotRun, "no slot became free in time"};
+  }
+
+  void Send(CallerRequest request, const Upstream& upstream) {
     const net::CallId call(++last_call_);
-    outstanding_.Add(upstream->worker);
-    in_progress_.emplace(call, InProgress{request.id, upstream->worker});
-    if (!upstreams_.Send({call, upstream->address, std::move(request.request)})) {
-      const auto node = in_progress_.extract(call);
-      outstanding_.Remove(node.mapped().worker);
-      Refuse(node.mapped().exchange,
-             {ResultCode::kQueueFull, RunState::kDidNotRun, "upstream ring is full"});
+    ++request.attempts;
+    net::ClientCall message{call, upstream.address, request.request, AttemptTimeout(request)};
+    if (!request.is_idempotent) {
+      message.max_idle = kMaxIdleUnrepeatable;
+    }
+    if (!upstreams_.Send(std::move(message))) {
+      EndRefused(request, {ResultCode::kQueueFull, RunState::kDidNotRun, "upstream ring is full"});
+      return;
     }
+    outstanding_.Add(upstream.worker);
+    teams_.Add(request.team);
+    in_progress_.emplace(call, InProgress{std::move(request), upstream.worker});
+  }
+
+  // An attempt that can be repeated leaves time for the others.
+  [[nodiscard]] std::chrono::milliseconds AttemptTimeout(const CallerRequest& request) const {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        request.received_at + options_.request_timeout - now_);
+    const std::uint32_t attempts_left =
+        request.is_idempotent && request.attempts < options_.max_attempts
+            ? options_.max_attempts - request.attempts + 1
+            : 1;
+    return std::max(left / attempts_left, std::chrono::milliseconds(1));
   }
 
   void Handle(net::ClientResult result) {
-    const auto node = in_progress_.extract(result.id);
-    outstanding_.Remove(node.mapped().worker);
-    if (result.response) {
-      callers_.Answer(node.mapped().exchange, std::move(*result.response));
-    } else {
-      Refuse(node.mapped().exchange, *result.refusal);
+    auto node = in_progress_.extract(result.id);
+    CallerRequest& request = node.mapped().request;
+    const WorkerId worker = node.mapped().worker;
+    outstanding_.Remove(worker);
+    teams_.Remove(request.team);
+    const auto refusal = AttemptRefusal(result);
+    if (!refusal) {
+      outstanding_.Answered(worker);
+      EndAnswered(request, std::move(*result.response));
+      return;
+    }
+    if (refusal->code == ResultCode::kUpstreamFailed &&
+        refusal->run_state == RunState::kDidNotRun) {
+      outstanding_.Failed(worker);
+    }
+    request.failed_at.push_back(worker);
+    if (!TryRepeat(request, *refusal)) {
+      EndRefused(request, *refusal);
+    }
+  }
+
+  bool TryRepeat(CallerRequest& request, const Refusal& refusal) {
+    if (!IsViewFresh() || now_ >= request.received_at + options_.request_timeout) {
+      return false;
+    }
+    const Upstream* upstream = chooser_.Choose(view_, outstanding_, request.failed_at);
+    if (upstream == nullptr && refusal.run_state != RunState::kDidNotRun) {
+      // Only a connection failed; the same worker may answer on another one.
+      upstream = chooser_.Choose(view_, outstanding_, {});
     }
+    if (upstream == nullptr) {
+      return false;
+    }
+    const auto reason = retries_.Decide(request.is_idempotent, request.attempts, refusal);
+    if (!reason) {
+      return false;
+    }
+    metrics_.Count(kRetries, "reason", RetryReasonName(*reason));
+    Send(std::move(request), *upstream);
+    return true;
   }
 
-  void Refuse(net::ExchangeId exchange, const Refusal& refusal) {
-    callers_.Answer(exchange, net::RefusalResponse(refusal));
+  void EndAnswered(const CallerRequest& request, net::HttpResponse response) {
+    if (request.claim) {
+      claims_.End(*request.claim, response);
+    }
+    responder_.Answer(request, std::move(response));
+  }
+
+  void EndRefused(const CallerRequest& request, const Refusal& refusal) {
+    if (request.claim) {
+      claims_.End(*request.claim, refusal);
+    }
+    responder_.Refuse(request, refusal);
   }
 
   BoundedRing<RoutingEvent>& events_;
-  net::HttpServer& callers_;
+  Responder responder_;
   net::HttpClient& upstreams_;
+  ClaimsPort claims_;
+  metrics::MetricRegistry& metrics_;
+  const RoutingOptions options_;
   Chooser chooser_;
-  std::shared_ptr<const RoutingView> view_;
+
+  std::shared_ptr<const RoutingView> control_view_ = std::make_shared<const RoutingView>();
+  std::shared_ptr<const ListedWorkers> listed_;
+  RoutingView view_;
+  MonotonicTime fresh_at_;
+  MonotonicTime now_;
+  MonotonicTime next_expiry_check_;
+
   OutstandingRequests outstanding_;
+  TeamLoads teams_;
+  WaitingRoom<CallerRequest> waiting_;
+  RetryPolicy retries_;
   std::unordered_map<net::CallId, InProgress> in_progress_;
   std::uint64_t last_call_ = 0;
 };
--- a/src/gateway/routing_event.h
+++ b/src/gateway/routing_event.h
@@ -3,14 +3,17 @@
 #include <memory>
 #include <variant>
 
-#include "clementineloom/routing/routing_view.h"
+#include "clementineloom/routing/listed_workers.h"
+#include "gateway/claimed_request.h"
+#include "gateway/view_confirmed.h"
+#include "gateway/view_update.h"
 #include "net/client_result.h"
 #include "net/server_request.h"
 
 namespace clementineloom::gateway {
 
-/// @brief What the routing duty reacts to: a caller's request, an upstream's result, a new view.
-using RoutingEvent =
-    std::variant<net::ServerRequest, net::ClientResult, std::shared_ptr<const RoutingView>>;
+/// @brief What the routing duty reacts to.
+using RoutingEvent = std::variant<net::ServerRequest, net::ClientResult, ClaimedRequest, ViewUpdate,
+                                  ViewConfirmed, std::shared_ptr<const ListedWorkers>>;
 
 }  // namespace clementineloom::gateway
