Read configuration edits outside of records

Cause: operators send the same edits over RPC that ConfigChanged records carry, and the reader was private to the record codec. Ruled out: a second reader in the scheduler, because the two could come to accept different edits. Before: one private reader. Conclusion: one reading of an edit for records and RPC.

--- a/src/codec/record_codec.cc
+++ b/src/codec/record_codec.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "codec/detail/config_edit_json.h"
 #include "codec/detail/enum_names.h"
 #include "codec/detail/json_reader.h"
 #include "codec/detail/model_json.h"
@@ -21,30 +22,6 @@
 using detail::NameOf;
 using detail::ToJson;
 
-json::object ToJson(const SetTeam& edit) { return {{"set_team", detail::ToJson(edit.team)}}; }
-
-json::object ToJson(const DeleteTeam& edit) { return {{"delete_team", edit.team}}; }
-
-json::object ToJson(const SetDataCentre& edit) {
-  return {{"set_data_centre", detail::ToJson(edit.data_centre)}};
-}
-
-Result<ConfigEdit> ReadEdit(const json::value& value) {
-  BOOST_LEAF_AUTO(reader, JsonReader::Of(value));
-  if (reader.Has("set_team")) {
-    BOOST_LEAF_AUTO(body, reader.Object("set_team"));
-    BOOST_LEAF_AUTO(team, detail::ReadTeam(body));
-    return ConfigEdit(SetTeam{std::move(team)});
-  }
-  if (reader.Has("delete_team")) {
-    BOOST_LEAF_AUTO(team, reader.String("delete_team"));
-    return ConfigEdit(DeleteTeam{std::move(team)});
-  }
-  BOOST_LEAF_AUTO(body, reader.Object("set_data_centre"));
-  BOOST_LEAF_AUTO(data_centre, detail::ReadDataCentre(body));
-  return ConfigEdit(SetDataCentre{std::move(data_centre)});
-}
-
 // One pair of functions for each record type: Encode returns its members, Decode reads them.
 
 json::object Encode(const WorkerRegistered& body) {
@@ -75,7 +52,7 @@
 json::object Encode(const ConfigChanged& body) {
   json::array edits;
   for (const ConfigEdit& it : body.edits) {
-    edits.push_back(std::visit([](const auto& edit) { return ToJson(edit); }, it));
+    edits.push_back(detail::ToJson(it));
   }
   return {{"type", "config_changed"},
           {"base_revision", body.base_revision.value()},
@@ -88,7 +65,7 @@
   BOOST_LEAF_AUTO(array, json.Array("edits"));
   std::vector<ConfigEdit> edits;
   for (const json::value& it : *array) {
-    BOOST_LEAF_AUTO(edit, ReadEdit(it));
+    BOOST_LEAF_AUTO(edit, detail::ReadConfigEdit(it));
     edits.push_back(std::move(edit));
   }
   BOOST_LEAF_AUTO(author, json.String("author"));
