--- a/include/clementineloom/state/cluster_state.h
+++ b/include/clementineloom/state/cluster_state.h
@@ -11,6 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "clementineloom/errors/result.h"
 #include "clementineloom/model/config_revision.h"
 #include "clementineloom/model/log_offset.h"
 #include "clementineloom/state/apply_outcome.h"
@@ -18,6 +19,7 @@
 #include "clementineloom/state/job_entry.h"
 #include "clementineloom/state/rack_entry.h"
 #include "clementineloom/state/record.h"
+#include "clementineloom/state/state_image.h"
 #include "clementineloom/state/team_entry.h"
 #include "clementineloom/state/worker_entry.h"
 
@@ -41,6 +43,13 @@
   /// Errors: given as code of the outcome; the state is then unchanged but for applied_offset().
   ApplyOutcome Apply(LogOffset offset, const Record& record);
 
+  /// @brief The content at the applied offset. Complexity: linear in all rows.
+  [[nodiscard]] StateImage ToImage() const;
+
+  /// @brief The state that an image was taken of.
+  /// Errors: kSnapshotTorn (a row refers to one that the image does not have).
+  [[nodiscard]] static Result<ClusterState> Restore(const StateImage& image);
+
   [[nodiscard]] LogOffset applied_offset() const { return applied_offset_; }
   [[nodiscard]] ConfigRevision config_revision() const { return config_revision_; }
 
@@ -121,6 +130,8 @@
   void ReleaseCell(const JobEntry& job);
   void End(JobId id, JobEntry& job, JobOutcome outcome);
   bool RememberRecordId(const std::string& id);
+  [[nodiscard]] bool HasAllReferences() const;
+  void RebuildIndexes();
 
   LogOffset applied_offset_;
   ConfigRevision config_revision_;
