Follow the control stream and recover from expired records

Cause: schedulers and gateways have to read the same stream, skip what is corrupt alike and start when the first records have expired. Ruled out: counting the answer's arrival as the age of the view (the tail may have moved while the answer was under way; the time before the request counts instead). Before: a client of the log. Conclusion: a daemon can start from what the log still keeps.

--- /dev/null
+++ b/src/platform/followed_batch.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+#include "clementineloom/state/state_image.h"
+#include "platform/followed_record.h"
+
+namespace clementineloom::platform {
+
+/// @brief What one read of the control stream brought. An immutable value.
+struct FollowedBatch {
+  /// The state that the records follow on, when those before it have expired.
+  std::shared_ptr<const StateImage> restored;
+  std::vector<FollowedRecord> records;
+  LogOffset tail;
+  /// Offset of the last record read so far.
+  LogOffset read_to;
+  /// Monotonic time before the read was sent: the tail was at least this new.
+  std::chrono::steady_clock::time_point read_at;
+
+  /// @brief Whether everything that the stream held at read_at is in this or an earlier batch.
+  [[nodiscard]] bool is_at_tail() const { return read_to >= tail; }
+};
+
+}  // namespace clementineloom::platform
--- /dev/null
+++ b/src/platform/log_follower.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "codec/control_payload_codec.h"
+#include "codec/snapshot_assembler.h"
+#include "platform/followed_batch.h"
+#include "platform/follower_options.h"
+#include "platform/log_client.h"
+
+namespace clementineloom::platform {
+
+/// @brief Reads the control stream in order, decodes it and hands it to a sink.
+///
+/// When the next record has expired, it searches the records that are left for a whole snapshot
+/// and goes on behind the offset that the snapshot covers. Until one is found the sink gets
+/// nothing, so that the view of the duties behind it grows old.
+///
+/// The client has to outlive it. Thread safety: Stop may be called from any thread; the rest on the
+/// duty's thread.
+template <LogClient Client>
+class LogFollower {
+ public:
+  using MonotonicTime = std::chrono::steady_clock::time_point;
+  /// Takes a batch; may wait. Returns false when the receiver has ended.
+  using Sink = std::function<bool(FollowedBatch)>;
+
+  LogFollower(Client& client, FollowerOptions options, Sink sink)
+      : client_(client), options_(std::move(options)), sink_(std::move(sink)) {}
+
+  /// @brief Reads until Stop is called or the sink has ended.
+  void Run() {
+    while (!stop_.closed()) {
+      if (!Poll(std::chrono::steady_clock::now())) {
+        (void)stop_.PopFor(options_.retry_pause);
+      }
+    }
+  }
+
+  void Stop() { stop_.Close(); }
+
+  /// @brief Makes one read. @return false if it failed; the next one should follow after a pause.
+  bool Poll(MonotonicTime now) {
+    std::optional<ReadBatch> batch;
+    const auto refusal = RefusalOf([&]() -> Result<void> {
+      BOOST_LEAF_AUTO(read, client_.Read(options_.stream, next_, options_.read_limit, wait()));
+      batch.emplace(std::move(read));
+      return {};
+    });
+    if (refusal) {
+      return refusal->code == ResultCode::kRecordsExpired && BeginSearch();
+    }
+    is_first_read_ = false;
+    return is_searching_ ? Search(*batch, now) : Hand(*batch, now);
+  }
+
+  /// @brief Whether it looks for a snapshot, because records were not read before they expired.
+  [[nodiscard]] bool is_searching() const { return is_searching_; }
+
+ private:
+  // Far beyond any tail: such a read returns no record, but how far back the stream reaches.
+  static constexpr LogOffset kBeyondTail{std::uint64_t{1} << 62};
+
+  // The first read does not wait, so that a daemon on a quiet stream serves at once.
+  [[nodiscard]] std::chrono::milliseconds wait() const {
+    return is_first_read_ ? std::chrono::milliseconds(0) : options_.read_wait;
+  }
+
+  bool BeginSearch() {
+    return !RefusalOf([&]() -> Result<void> {
+      BOOST_LEAF_AUTO(batch, client_.Read(options_.stream, kBeyondTail, 1, {}));
+      assembler_.Clear();
+      is_searching_ = true;
+      next_ = batch.oldest;
+      return {};
+    });
+  }
+
+  bool Search(const ReadBatch& batch, MonotonicTime now) {
+    for (const StoredRecord& it : batch.records) {
+      next_ = LogOffset(it.offset.value() + 1);
+      const auto image = ImageCompletedBy(it);
+      const bool is_usable = image != nullptr && image->applied_offset() >= read_to_ &&
+                             image->applied_offset().value() + 1 >= batch.oldest.value();
+      if (is_usable) {
+        is_searching_ = false;
+        read_to_ = image->applied_offset();
+        next_ = LogOffset{read_to_.value() + 1};
+        return sink_({image, {}, batch.tail, read_to_, now});
+      }
+    }
+    return true;
+  }
+
+  std::shared_ptr<const StateImage> ImageCompletedBy(const StoredRecord& stored) {
+    return CatchRefusal(
+        [&]() -> Result<std::shared_ptr<const StateImage>> {
+          BOOST_LEAF_AUTO(payload, codec::DecodeControlPayload(stored.payload));
+          const auto* chunk = std::get_if<SnapshotChunk>(&payload);
+          if (chunk == nullptr) {
+            return std::shared_ptr<const StateImage>();
+          }
+          return assembler_.Add(*chunk);
+        },
+        // A chunk that cannot be used leaves its snapshot incomplete; a later one is tried.
+        [](const Refusal&) { return std::shared_ptr<const StateImage>(); });
+  }
+
+  bool Hand(const ReadBatch& batch, MonotonicTime now) {
+    FollowedBatch followed{nullptr, {}, batch.tail, read_to_, now};
+    followed.records.reserve(batch.records.size());
+    for (const StoredRecord& it : batch.records) {
+      followed.records.push_back(Follow(it));
+      read_to_ = it.offset;
+    }
+    next_ = LogOffset{read_to_.value() + 1};
+    followed.read_to = read_to_;
+    return sink_(std::move(followed));
+  }
+
+  static FollowedRecord Follow(const StoredRecord& stored) {
+    return CatchRefusal(
+        [&]() -> Result<FollowedRecord> {
+          BOOST_LEAF_AUTO(payload, codec::DecodeControlPayload(stored.payload));
+          FollowedRecord followed{stored.offset, ResultCode::kOk, nullptr, {}};
+          if (auto* record = std::get_if<Record>(&payload)) {
+            followed.record = std::make_shared<const Record>(std::move(*record));
+          } else if (const auto& chunk = std::get<SnapshotChunk>(payload);
+                     chunk.index + 1 == chunk.count) {
+            followed.snapshot_covers = chunk.covers;
+          }
+          return followed;
+        },
+        [&](const Refusal& refusal) {
+          return FollowedRecord{stored.offset, refusal.code, nullptr, {}};
+        });
+  }
+
+  Client& client_;
+  const FollowerOptions options_;
+  Sink sink_;
+  codec::SnapshotAssembler assembler_;
+  // Nothing is ever pushed: closing it ends a pause.
+  BoundedRing<bool> stop_{1};
+  LogOffset next_{1};
+  LogOffset read_to_;
+  bool is_first_read_ = true;
+  bool is_searching_ = false;
+};
+
+}  // namespace clementineloom::platform
--- /dev/null
+++ b/src/platform/stop_command.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <compare>
+
+#include "platform/task_key.h"
+
+namespace clementineloom::platform {
+
+/// @brief Stops a task or gives a reservation back.
+struct StopCommand {
+  TaskKey key;
+
+  friend auto operator<=>(const StopCommand&, const StopCommand&) = default;
+};
+
+}  // namespace clementineloom::platform
