Start loom-scheduler: follow, decide, append, answer operators

Cause: the decision code had no process that runs it. Ruled out: several decisions under way at a time (a later one would contradict an earlier one that is not read back yet); repeating an append without an answer at once (the stream is read first). Before: a library. Conclusion: placements and operator requests go through the log; the task driver and the fetching of the instance list are not part of this change, and settings still come from the command line.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -42,7 +42,7 @@
 set_source_files_properties(src/rpc/detail/json_rpc_encoder.cc PROPERTIES COMPILE_OPTIONS "-std=c++14;-Wno-deprecated;-Wno-deprecated-declarations")
 set_source_files_properties(src/rpc/detail/json_rpc_dispatcher.cc PROPERTIES COMPILE_OPTIONS "-Wno-deprecated-declarations")
 add_module(gateway loom_platform loom_rpc loom_settings loom_metrics)
-add_module(scheduler loom_platform loom_rpc loom_settings loom_metrics)
+add_module(scheduler loom_platform loom_rpc loom_settings loom_metrics loom_logging)
 add_module(ctl loom_platform loom_rpc loom_settings)
 
 add_program(loom-gateway gateway)
--- /dev/null
+++ b/src/scheduler/attempt.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <vector>
+
+#include "clementineloom/model/job_phase.h"
+#include "clementineloom/state/stop_reason.h"
+#include "platform/task_key.h"
+#include "scheduler/task_site.h"
+
+namespace clementineloom::scheduler {
+
+/// @brief An attempt that holds accelerators, as the decision duty tells the task driver.
+///
+/// An immutable value.
+struct Attempt {
+  platform::TaskKey key;
+  /// kPlaced, kRunning or kStopping.
+  JobPhase phase = JobPhase::kPlaced;
+  StopReason stop_reason = StopReason::kNone;
+  /// Why the attempt cannot go on although no stop was requested yet; kNone if it can.
+  StopReason due_stop = StopReason::kNone;
+  std::string command;
+  std::vector<TaskSite> sites;
+
+  friend auto operator<=>(const Attempt&, const Attempt&) = default;
+};
+
+}  // namespace clementineloom::scheduler
--- /dev/null
+++ b/src/scheduler/scheduler.cc
@@ -0,0 +1,161 @@
+#include "scheduler/scheduler.h"
+
+#include <optional>
+#include <utility>
+
+#include "clementineloom/concurrency/duty_thread.h"
+#include "clementineloom/decision/first_fit_placer.h"
+#include "net/parse_endpoint.h"
+#include "platform/http_log_client.h"
+#include "platform/log_follower.h"
+#include "rpc/rpc_server.h"
+#include "scheduler/admin_duty.h"
+#include "scheduler/append_duty.h"
+#include "scheduler/decision_duty.h"
+#include "scheduler/rpc_duty.h"
+
+namespace clementineloom::scheduler {
+namespace {
+
+using platform::HttpLogClient;
+using std::chrono::milliseconds;
+
+// An operator's change is read back within some 20 ms; the rest is for a slow log.
+constexpr milliseconds kOperatorTimeout{5'000};
+constexpr std::size_t kAdminRing = 64;
+// Batches of records wait here; a follower that is faster than the decision duty waits for it.
+constexpr std::size_t kDecisionRing = 256;
+// Calls that wait for the log hold a handler thread.
+constexpr std::size_t kRpcThreads = 8;
+
+DecisionOptions DecisionOptionsOf(const settings::SchedulerSettings& settings,
+                                  const std::string& process) {
+  DecisionOptions options;
+  options.instance = settings.common.instance;
+  options.process = process;
+  options.max_view_age = milliseconds(settings.common.max_view_age_ms);
+  options.rank_delay = milliseconds(settings.rank_delay_ms);
+  options.snapshot_interval = settings.snapshot_interval_records;
+  return options;
+}
+
+}  // namespace
+
+class Scheduler::Impl {
+ public:
+  explicit Impl(const settings::SchedulerSettings& settings)
+      : settings_(settings),
+        process_(MakeProcessName(settings.common.instance)),
+        decisions_(kDecisionRing),
+        appends_(settings.ring_capacity),
+        driver_(settings.ring_capacity),
+        admin_(kAdminRing),
+        read_log_("log-read", settings.common.log_service),
+        append_log_("log-append", settings.common.log_service),
+        follower_(
+            read_log_, {},
+            [this](platform::FollowedBatch batch) { return decisions_.Push(std::move(batch)); }),
+        rpc_(decisions_, kOperatorTimeout, metrics_) {}
+
+  ~Impl() {
+    follower_.Stop();
+    decisions_.Close();
+    appends_.Close();
+    driver_.Close();
+    admin_.Close();
+  }
+
+  Result<void> Start() {
+    BOOST_LEAF_CHECK(StartAdmin());
+    BOOST_LEAF_CHECK(StartRpc());
+    StartDuties();
+    return {};
+  }
+
+  bool Drain(milliseconds timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    (void)decisions_.Push(StartDraining{});
+    const auto left = deadline - std::chrono::steady_clock::now();
+    return drained_.PopFor(left).has_value();
+  }
+
+  std::uint16_t rpc_port() const { return rpc_server_->port(); }
+  std::uint16_t admin_port() const { return admin_server_->port(); }
+
+ private:
+  Result<void> StartAdmin() {
+    BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(settings_.common.admin));
+    net::HttpServerOptions options;
+    options.address = endpoint.address().to_string();
+    options.port = endpoint.port();
+    BOOST_LEAF_ASSIGN(admin_server_,
+                      net::HttpServer::Start("admin-io", options, [this](net::ServerRequest it) {
+                        return admin_.TryPush(std::move(it));
+                      }));
+    return {};
+  }
+
+  Result<void> StartRpc() {
+    BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(settings_.rpc));
+    rpc::RpcServerOptions options;
+    options.address = endpoint.address().to_string();
+    options.port = endpoint.port();
+    options.handler_threads = kRpcThreads;
+    BOOST_LEAF_ASSIGN(rpc_server_, rpc::RpcServer::Start(options, RpcDuty::Methods(),
+                                                         [this](const rpc::RpcCall& call) {
+                                                           return rpc_.Handle(call);
+                                                         }));
+    return {};
+  }
+
+  void StartDuties() {
+    threads_.emplace_back("admin", [this] {
+      AdminDuty(*admin_server_, milliseconds(settings_.common.max_view_age_ms), metrics_)
+          .Run(admin_);
+    });
+    threads_.emplace_back("append", [this] {
+      const auto drop = [this](ProposalDropped it) { (void)decisions_.TryPush(std::move(it)); };
+      AppendDuty<HttpLogClient>(append_log_, {}, drop, metrics_).Run(appends_);
+    });
+    threads_.emplace_back("decision", [this] {
+      DecisionDuty<FirstFitPlacer>(DecisionOptionsOf(settings_, process_),
+                                   DecisionEngine<FirstFitPlacer>(FirstFitPlacer()),
+                                   {appends_, driver_, admin_, drained_, metrics_})
+          .Run(decisions_);
+    });
+    threads_.emplace_back("follower", [this] { follower_.Run(); });
+  }
+
+  const settings::SchedulerSettings settings_;
+  const std::string process_;
+  metrics::MetricRegistry metrics_;
+  BoundedRing<DecisionEvent> decisions_;
+  BoundedRing<AppendEvent> appends_;
+  BoundedRing<DriverEvent> driver_;
+  BoundedRing<AdminEvent> admin_;
+  BoundedRing<Drained> drained_{4};
+  HttpLogClient read_log_;
+  HttpLogClient append_log_;
+  platform::LogFollower<HttpLogClient> follower_;
+  RpcDuty rpc_;
+  std::unique_ptr<net::HttpServer> admin_server_;
+  std::unique_ptr<rpc::RpcServer> rpc_server_;
+  // Last, so that all are joined before anything that they use is destroyed.
+  std::vector<DutyThread> threads_;
+};
+
+Result<std::unique_ptr<Scheduler>> Scheduler::Start(const settings::SchedulerSettings& settings) {
+  auto impl = std::make_unique<Impl>(settings);
+  BOOST_LEAF_CHECK(impl->Start());
+  return std::unique_ptr<Scheduler>(new Scheduler(std::move(impl)));
+}
+
+Scheduler::Scheduler(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Scheduler::~Scheduler() = default;
+
+bool Scheduler::Drain(std::chrono::milliseconds timeout) { return impl_->Drain(timeout); }
+
+std::uint16_t Scheduler::rpc_port() const { return impl_->rpc_port(); }
+std::uint16_t Scheduler::admin_port() const { return impl_->admin_port(); }
+
+}  // namespace clementineloom::scheduler
