Do not count placements of the same pass as backfill

Cause: a pass that places a job and then reserves its workers for a larger one gave the placement an offset after the reservation, so the next pass stopped the job as backfill before it had started.

Ruled out: taking the reservation's offset from the next pass, which may come before the placement has been read back from the log.

--- a/include/clementineloom/decision/decision_engine.h
+++ b/include/clementineloom/decision/decision_engine.h
@@ -91,7 +91,7 @@
     BlockedJobs blocked;
     PlaceWaiting(state, now, result, blocked);
     Backfill(state, now, result, blocked);
-    Reserve(state, blocked);
+    Reserve(state, result.placements, blocked);
     StopOverrun(state, result);
     return ToRecords(state, now, std::move(result));
   }
@@ -314,7 +314,8 @@
   }
 
   // The oldest jobs first, whatever their team's share, so that each waits a bounded time.
-  void Reserve(const ClusterState& state, const BlockedJobs& blocked) {
+  void Reserve(const ClusterState& state, const std::vector<Placement>& placed_before,
+               const BlockedJobs& blocked) {
     std::vector<JobId> oldest = blocked.jobs();
     std::sort(oldest.begin(), oldest.end());
     for (const JobId job : oldest) {
@@ -323,7 +324,7 @@
       }
       const bool may_borrow = state.team(state.FindJob(job)->team).team.may_borrow();
       if (may_borrow && reservations_.Find(job) == nullptr) {
-        reservations_.Add(state, placer_.packing().rooms(), job);
+        reservations_.Add(state, placer_.packing().rooms(), job, placed_before);
       }
     }
   }
--- a/include/clementineloom/decision/reservation.h
+++ b/include/clementineloom/decision/reservation.h
@@ -17,6 +17,8 @@
   /// Jobs placed on the workers after this offset are backfill, and stop when the job could start
   /// but for them.
   LogOffset made_at;
+  /// Jobs that the same pass placed: their placements get later offsets, but they were there first.
+  std::vector<JobId> placed_before;
 
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
--- a/include/clementineloom/decision/reservations.h
+++ b/include/clementineloom/decision/reservations.h
@@ -26,7 +26,9 @@
   /// get work.
   void Refresh(const ClusterState& state);
   /// @brief Reserves the domain with the fewest accelerators in use that can hold the job.
-  void Add(const ClusterState& state, const detail::WorkerRooms& rooms, JobId job);
+  /// @param placed_before placements of this pass, which are not backfill
+  void Add(const ClusterState& state, const detail::WorkerRooms& rooms, JobId job,
+           const std::vector<Placement>& placed_before);
   void Remove(JobId job) { reservations_.erase(job); }
   void Clear() { reservations_.clear(); }
 
--- a/src/decision/reservations.cc
+++ b/src/decision/reservations.cc
@@ -52,7 +52,8 @@
   });
 }
 
-void Reservations::Add(const ClusterState& state, const WorkerRooms& rooms, JobId job) {
+void Reservations::Add(const ClusterState& state, const WorkerRooms& rooms, JobId job,
+                       const std::vector<Placement>& placed_before) {
   const GangShape& shape = state.FindJob(job)->spec->shape();
   // A second reservation of a worker would keep the first job from it.
   std::set<WorkerId> taken;
@@ -77,8 +78,13 @@
     }
   }
   if (!best.empty()) {
+    std::vector<JobId> jobs;
+    for (const Placement& it : placed_before) {
+      jobs.push_back(it.job());
+    }
+    std::ranges::sort(jobs);
     reservations_.emplace(job, Reservation{job, std::move(best), shape.accelerators_per_worker(),
-                                           state.applied_offset()});
+                                           state.applied_offset(), std::move(jobs)});
   }
 }
 
@@ -96,7 +102,8 @@
       continue;
     }
     for (const JobId it : entry.jobs) {
-      const bool is_later = state.FindJob(it)->token.value() > reservation.made_at.value();
+      const bool is_later = state.FindJob(it)->token.value() > reservation.made_at.value() &&
+                            !std::ranges::binary_search(reservation.placed_before, it);
       if (is_later == backfill) {
         jobs.push_back(it);
       }
