Keep jobs waiting for lost workers, and replace lost workers in place

Cause: capacity configured left out lost workers, so a job of its team's guaranteed shape was refused for good because one instance had failed; and each replaced instance added a worker to the state for ever.

Ruled out: a time after which a lost worker stops counting; the state has no clock, and a rack whose worker never returns gets a replacement with its slot.

--- a/include/clementineloom/state/cluster_state.h
+++ b/include/clementineloom/state/cluster_state.h
@@ -134,6 +134,7 @@
   [[nodiscard]] ResultCode ValidateWorkers(const GangShape& shape,
                                            const Placement& placement) const;
   JobEntry* FindActive(JobId job, std::uint32_t attempt);
+  [[nodiscard]] std::optional<WorkerId> FindReplaceable(RackId rack) const;
   RackId FindOrAddRack(const std::string& name, DataCentreId data_centre);
   void Hold(LogOffset offset, JobEntry& job, const Placement& placement);
   void Release(JobId id, JobEntry& job);
--- a/src/decision/detail/worker_rooms.cc
+++ b/src/decision/detail/worker_rooms.cc
@@ -103,12 +103,12 @@
   const WorkerRoom& room = rooms_[worker.value()];
   const std::int32_t slack = room.capacity - room.charged - room.reserved;
   const std::int32_t free = room.capacity > 0 ? room.free : 0;
-  const WorkerEntry& entry = state.worker(worker);
-  const bool is_lost = entry.condition == WorkerCondition::kLost;
   open_.Set(state, worker, Positive(std::min(slack, free)));
   free_.Set(state, worker, Positive(free));
   slack_.Set(state, worker, Positive(slack));
-  configured_.Set(state, worker, is_lost ? 0 : entry.accelerators);
+  // Lost workers count: an instance that failed is usually replaced within minutes, and a job that
+  // waits for it must not be refused for good.
+  configured_.Set(state, worker, state.worker(worker).accelerators);
 }
 
 }  // namespace clementineloom::detail
--- a/src/state/apply_worker.cc
+++ b/src/state/apply_worker.cc
@@ -16,7 +16,8 @@
     return ApplyOutcome(ResultCode::kWorkerUnavailable);
   }
   const RackId rack = FindOrAddRack(body.worker.rack(), *data_centre);
-  const WorkerId id = known.value_or(WorkerId(static_cast<std::uint32_t>(workers_.size())));
+  const std::optional<WorkerId> replaced = known ? known : FindReplaceable(rack);
+  const WorkerId id = replaced.value_or(WorkerId(static_cast<std::uint32_t>(workers_.size())));
   WorkerEntry entry{.name = body.worker.name(),
                     .address = body.worker.address(),
                     .rack = rack,
@@ -28,20 +29,31 @@
                     .consecutive_failures = 0,
                     .condition = WorkerCondition::kLive,
                     .jobs = {}};
-  if (!known) {
+  if (!replaced) {
     workers_.push_back(std::move(entry));
-    worker_names_.emplace(body.worker.name(), id);
-    racks_[rack.value()].workers.push_back(id);
   } else {
     std::erase(racks_[worker(id).rack.value()].workers, id);
+    worker_names_.erase(worker(id).name);
     workers_[id.value()] = std::move(entry);
-    racks_[rack.value()].workers.push_back(id);
   }
+  worker_names_.emplace(body.worker.name(), id);
+  racks_[rack.value()].workers.push_back(id);
   journal_.Add(id);
   guarantee_epoch_ = offset;
   return ApplyOutcome(ResultCode::kOk);
 }
 
+// A new instance takes the place of a lost one of its rack, so that 4,600 replacements a day do not
+// grow the state.
+std::optional<WorkerId> ClusterState::FindReplaceable(RackId rack) const {
+  for (const WorkerId it : racks_[rack.value()].workers) {
+    if (worker(it).condition == WorkerCondition::kLost && worker(it).jobs.empty()) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
 ApplyOutcome ClusterState::ApplyBody(LogOffset offset, const WorkerConditionChanged& body) {
   const auto id = FindWorker(body.worker);
   if (!id) {
--- a/tests/golden/session_runner.cc
+++ b/tests/golden/session_runner.cc
@@ -79,6 +79,7 @@
       {"delete-team", &SessionRunner::DeleteTeamByName},
       {"workers", &SessionRunner::RegisterWorkers},
       {"worker", &SessionRunner::ChangeWorker},
+      {"replacement", &SessionRunner::RegisterReplacement},
       {"submit", &SessionRunner::Submit},
       {"cancel", &SessionRunner::CancelJobs},
       {"report", &SessionRunner::Report},
@@ -131,6 +132,17 @@
   return Configure("operator", SetTeam{team});
 }
 
+// replacement NAME DATA_CENTRE RACK: registers one worker of 8 accelerators.
+std::string SessionRunner::RegisterReplacement(const Words& words) {
+  const auto worker = ValueOrDie([&] {
+    return Worker::Create({.name = words.at(1),
+                           .address = "127.0.0.1:1",
+                           .data_centre = words.at(2),
+                           .rack = words.at(3)});
+  });
+  return CodeName(Append(WorkerRegistered{worker}).code()) + "\n";
+}
+
 // workers DATA_CENTRE RACK COUNT: registers COUNT workers of 8 accelerators.
 std::string SessionRunner::RegisterWorkers(const Words& words) {
   for (int n = 1; n <= std::stoi(words.at(3)); ++n) {
--- a/tests/golden/session_runner.h
+++ b/tests/golden/session_runner.h
@@ -26,6 +26,7 @@
   std::string SetUpTeam(const Words& words);
   std::string SetUpDataCentre(const Words& words);
   std::string RegisterWorkers(const Words& words);
+  std::string RegisterReplacement(const Words& words);
   std::string ChangeWorker(const Words& words);
   std::string Submit(const Words& words);
   std::string CancelJobs(const Words& words);
