Place guaranteed work before all borrowing

A job whose own shape was at risk borrowed the room of another team's guaranteed job, was stopped for it, and was placed there again first in the next pass, without end. Jobs with an idle cell now have their turn before all that borrow; one that finds no cell gets a second turn as a borrower. Urgent jobs lead each of the two groups. Ruled out: ranking shapes at risk lower, which leaves the same cycle for urgent borrowers.

--- a/include/clementineloom/decision/cell_placer.h
+++ b/include/clementineloom/decision/cell_placer.h
@@ -28,12 +28,14 @@
 
   /// @brief Starts a pass: takes in the changes of the state, forgets what the last pass took.
   void BeginPass(const ClusterState& state);
-  /// @brief Places a job beside what this pass has taken before, and takes its place.
+  /// @brief Places a job in its team's cells beside what this pass has taken, and takes its place.
   /// Precondition: the job is waiting and was not placed in this pass.
-  [[nodiscard]] std::optional<Placement> PlaceNext(const ClusterState& state, JobId job);
+  [[nodiscard]] std::optional<Placement> PlaceInCell(const ClusterState& state, JobId job);
+  /// @brief Like PlaceInCell with capacity that others can take back.
+  [[nodiscard]] std::optional<Placement> PlaceBorrowing(const ClusterState& state, JobId job);
   /// @brief The cheapest borrowed jobs to stop so that a job can use its team's guarantee; takes
   /// the room they leave. None if the team has no idle shape for the job.
-  /// Precondition: PlaceNext found no place for the job in this pass.
+  /// Precondition: PlaceInCell found no place for the job in this pass.
   [[nodiscard]] std::optional<ReclaimPlan> PlanReclaim(const ClusterState& state, JobId job);
   /// @brief Keeps accelerators from other jobs for the rest of the pass; less than 0 returns them.
   void KeepFree(const ClusterState& state, WorkerId worker, std::int32_t accelerators) {
@@ -54,9 +56,7 @@
   using Workers = std::vector<WorkerId>;
 
   [[nodiscard]] std::vector<CellKey> CellsFor(const JobEntry& job) const;
-  std::optional<Placement> PlaceGuaranteed(const ClusterState& state, JobId job);
-  std::optional<Placement> PlaceInCell(const ClusterState& state, JobId job, const CellKey& key);
-  std::optional<Placement> PlaceBorrowed(const ClusterState& state, JobId job);
+  std::optional<Placement> PlaceIn(const ClusterState& state, JobId job, const CellKey& key);
   std::optional<Placement> UseWorkers(const ClusterState& state, JobId job, const CellKey& key,
                                       Workers workers);
   [[nodiscard]] Workers FreeInBinding(const JobEntry& job, const CellKey& key) const;
--- a/include/clementineloom/decision/decision_engine.h
+++ b/include/clementineloom/decision/decision_engine.h
@@ -131,6 +131,7 @@
   void PlaceWaiting(const ClusterState& state, Instant now, PassResult& result,
                     BlockedJobs& blocked) {
     JobQueue queue(state, QueuedJobs(state));
+    BlockedJobs without_cell;
     bool is_holding = false;
     while (result.allocations < options_.max_allocations_per_call) {
       const auto next = queue.Next();
@@ -138,12 +139,17 @@
         break;
       }
       // Reservations bind only borrowers: guaranteed work has the first claim on every worker.
-      if (next->rank >= QueueRank::kBorrowing && !is_holding) {
+      if (IsBorrowing(next->rank) && !is_holding) {
         HoldReservations(state, 1);
         is_holding = true;
       }
-      if (TryPlace(state, *next, now, result, blocked)) {
-        queue.Grant(next->team, state.FindJob(next->job)->spec->shape().total_accelerators());
+      if (RefuseIfHopeless(state, next->job, result) || !MayTry(state, *next, now)) {
+        continue;
+      }
+      if (IsBorrowing(next->rank)) {
+        TryBorrowing(state, *next, now, result, queue, blocked);
+      } else {
+        TryCells(state, *next, now, result, queue, without_cell);
       }
     }
     if (!is_holding) {
@@ -169,93 +175,117 @@
   }
 
   [[nodiscard]] static QueueRank RankOf(JobPriority priority, bool has_idle_cell) {
-    if (priority == JobPriority::kUrgent) {
-      return QueueRank::kUrgent;
-    }
-    const bool is_low = priority == JobPriority::kLow;
-    if (has_idle_cell) {
-      return is_low ? QueueRank::kGuaranteedLow : QueueRank::kGuaranteed;
+    switch (priority) {
+      case JobPriority::kUrgent:
+        return has_idle_cell ? QueueRank::kUrgentGuaranteed : QueueRank::kUrgentBorrowing;
+      case JobPriority::kNormal:
+        return has_idle_cell ? QueueRank::kGuaranteed : QueueRank::kBorrowing;
+      case JobPriority::kLow:
+        break;
     }
-    return is_low ? QueueRank::kBorrowingLow : QueueRank::kBorrowing;
+    return has_idle_cell ? QueueRank::kLowGuaranteed : QueueRank::kLowBorrowing;
   }
 
-  bool TryPlace(const ClusterState& state, const QueuedJob& queued, Instant now, PassResult& result,
-                BlockedJobs& blocked) {
-    const JobEntry& entry = *state.FindJob(queued.job);
-    if (!placer_.CanEverRun(state, queued.job)) {
-      result.refusals.push_back({queued.job, ResultCode::kJobNeverFits});
-      return false;
-    }
-    if (HasFailedForGood(entry)) {
-      result.refusals.push_back({queued.job, ResultCode::kRetryBudgetExhausted});
-      return false;
-    }
-    const GangShape& shape = entry.spec->shape();
-    const bool is_reserved = reservations_.Find(queued.job) != nullptr;
-    if (blocked.Contains(queued.team, shape) && !is_reserved) {
-      blocked.Add(queued.job, queued.team, shape);
-      return false;
-    }
-    const std::uint32_t limit = state.team(queued.team).team.retry_budget_per_hour();
-    if (IsRetry(entry) && !retry_budget_.MayRetry(queued.team, limit, now)) {
-      return false;
-    }
-    if (PlaceQueued(state, queued.job, queued.rank >= QueueRank::kBorrowing, now, result)) {
+  bool RefuseIfHopeless(const ClusterState& state, JobId job, PassResult& result) const {
+    if (!placer_.CanEverRun(state, job)) {
+      result.refusals.push_back({job, ResultCode::kJobNeverFits});
       return true;
     }
-    if (!PlanReclaim(state, queued.job, result)) {
-      blocked.Add(queued.job, queued.team, shape);
+    if (HasFailedForGood(*state.FindJob(job))) {
+      result.refusals.push_back({job, ResultCode::kRetryBudgetExhausted});
+      return true;
     }
     return false;
   }
 
-  [[nodiscard]] bool HasFailedForGood(const JobEntry& job) const {
-    return job.failed_on.size() >= options_.max_failed_workers ||
-           job.failures >= options_.max_failures;
+  [[nodiscard]] bool MayTry(const ClusterState& state, const QueuedJob& queued, Instant now) {
+    const std::uint32_t limit = state.team(queued.team).team.retry_budget_per_hour();
+    return !IsRetry(*state.FindJob(queued.job)) || retry_budget_.MayRetry(queued.team, limit, now);
   }
 
-  [[nodiscard]] static bool IsRetry(const JobEntry& job) {
-    return job.stop_reason == StopReason::kAttemptFailed ||
-           job.stop_reason == StopReason::kStartDeadline;
+  void TryCells(const ClusterState& state, const QueuedJob& queued, Instant now, PassResult& result,
+                JobQueue& queue, BlockedJobs& without_cell) {
+    const GangShape& shape = state.FindJob(queued.job)->spec->shape();
+    if (!without_cell.Contains(queued.team, shape)) {
+      const auto place = [&] { return placer_.PlaceInCell(state, queued.job); };
+      if (auto placement = PlaceAwayFromFailures(state, queued.job, place)) {
+        Accept(state, std::move(*placement), now, result);
+        queue.Grant(queued.team, shape.total_accelerators());
+        return;
+      }
+      if (PlanReclaim(state, queued.job, result)) {
+        return;
+      }
+      without_cell.Add(queued.job, queued.team, shape);
+    }
+    const JobPriority priority = state.FindJob(queued.job)->spec->priority();
+    queue.Requeue({RankOf(priority, false), queued.job, queued.team});
   }
 
-  bool PlaceQueued(const ClusterState& state, JobId job, bool is_holding, Instant now,
-                   PassResult& result) {
-    const Reservation* reservation = is_holding ? reservations_.Find(job) : nullptr;
+  void TryBorrowing(const ClusterState& state, const QueuedJob& queued, Instant now,
+                    PassResult& result, JobQueue& queue, BlockedJobs& blocked) {
+    const GangShape& shape = state.FindJob(queued.job)->spec->shape();
+    const Reservation* reservation = reservations_.Find(queued.job);
+    const bool is_hopeless = reservation == nullptr && blocked.Contains(queued.team, shape);
     if (reservation != nullptr) {
       Hold(state, *reservation, -1);
     }
-    auto placement = PlaceAwayFromFailures(state, job);
-    if (!placement && reservation != nullptr) {
+    if (!is_hopeless && Borrow(state, queued.job, now, result)) {
+      queue.Grant(queued.team, shape.total_accelerators());
+      return;
+    }
+    if (reservation != nullptr) {
       Hold(state, *reservation, 1);
     }
+    blocked.Add(queued.job, queued.team, shape);
+  }
+
+  bool Borrow(const ClusterState& state, JobId job, Instant now, PassResult& result) {
+    const auto place = [&] { return placer_.PlaceBorrowing(state, job); };
+    auto placement = PlaceAwayFromFailures(state, job, place);
     if (!placement) {
       return false;
     }
-    reservations_.Remove(job);
-    const JobEntry& entry = *state.FindJob(job);
+    Accept(state, std::move(*placement), now, result);
+    return true;
+  }
+
+  void Accept(const ClusterState& state, Placement placement, Instant now, PassResult& result) {
+    const JobEntry& entry = *state.FindJob(placement.job());
     if (IsRetry(entry)) {
       retry_budget_.Count(entry.team, now);
     }
-    result.allocations += placement->allocations().size();
-    result.placements.push_back(std::move(*placement));
-    return true;
+    reservations_.Remove(placement.job());
+    result.allocations += placement.allocations().size();
+    result.placements.push_back(std::move(placement));
+  }
+
+  [[nodiscard]] bool HasFailedForGood(const JobEntry& job) const {
+    return job.failed_on.size() >= options_.max_failed_workers ||
+           job.failures >= options_.max_failures;
+  }
+
+  [[nodiscard]] static bool IsRetry(const JobEntry& job) {
+    return job.stop_reason == StopReason::kAttemptFailed ||
+           job.stop_reason == StopReason::kStartDeadline;
   }
 
   // Prefers workers on which the job has not failed; takes another only when there is no choice.
-  std::optional<Placement> PlaceAwayFromFailures(const ClusterState& state, JobId job) {
+  template <class Place>
+  std::optional<Placement> PlaceAwayFromFailures(const ClusterState& state, JobId job,
+                                                 const Place& place) {
     const std::vector<WorkerId>& failed_on = state.FindJob(job)->failed_on;
     std::vector<std::int32_t> hidden;
     for (const WorkerId it : failed_on) {
       hidden.push_back(std::max(placer_.packing().rooms().room(it).free, 0));
       placer_.KeepFree(state, it, hidden.back());
     }
-    auto placement = placer_.PlaceNext(state, job);
+    auto placement = place();
     for (std::size_t n = 0; n < failed_on.size(); ++n) {
       placer_.KeepFree(state, failed_on[n], -hidden[n]);
     }
     const bool has_no_choice = !placement && !failed_on.empty();
-    return has_no_choice ? placer_.PlaceNext(state, job) : std::move(placement);
+    return has_no_choice ? place() : std::move(placement);
   }
 
   bool PlanReclaim(const ClusterState& state, JobId job, PassResult& result) {
@@ -308,7 +338,7 @@
       if (++tries > options_.max_backfill_tries) {
         break;
       }
-      (void)PlaceQueued(state, job, false, now, result);
+      (void)Borrow(state, job, now, result);
     }
     HoldReservations(state, 1);
   }
--- a/include/clementineloom/decision/job_queue.h
+++ b/include/clementineloom/decision/job_queue.h
@@ -22,6 +22,8 @@
 
   /// @brief The next job, or nothing at the end.
   [[nodiscard]] std::optional<QueuedJob> Next();
+  /// @brief Gives a job that Next returned another turn, by its new rank.
+  void Requeue(const QueuedJob& job);
   /// @brief Counts accelerators that the pass gave to a team.
   void Grant(TeamId team, std::uint32_t accelerators);
 
@@ -38,6 +40,7 @@
 
   [[nodiscard]] double ShareOf(TeamId team) const;
   void AddTurn(TeamId team);
+  void RemoveTurn(TeamId team);
 
   const ClusterState* state_;
   /// By team; next job last.
--- a/include/clementineloom/decision/pass_placer.h
+++ b/include/clementineloom/decision/pass_placer.h
@@ -16,7 +16,8 @@
     requires(T placer, const T& view, const ClusterState& state, JobId job, TeamId team,
              const GangShape& shape, WorkerId worker, std::int32_t accelerators) {
   placer.BeginPass(state);
-  { placer.PlaceNext(state, job) } -> std::same_as<std::optional<Placement>>;
+  { placer.PlaceInCell(state, job) } -> std::same_as<std::optional<Placement>>;
+  { placer.PlaceBorrowing(state, job) } -> std::same_as<std::optional<Placement>>;
   { placer.PlanReclaim(state, job) } -> std::same_as<std::optional<ReclaimPlan>>;
   placer.KeepFree(state, worker, accelerators);
   { view.HasIdleCell(team, shape) } -> std::same_as<bool>;
--- a/src/decision/cell_placer.cc
+++ b/src/decision/cell_placer.cc
@@ -42,7 +42,8 @@
 
 std::optional<Placement> CellPlacer::Place(const ClusterState& state, JobId job, Instant /*now*/) {
   BeginPass(state);
-  return PlaceNext(state, job);
+  auto placement = PlaceInCell(state, job);
+  return placement ? std::move(placement) : PlaceBorrowing(state, job);
 }
 
 void CellPlacer::BeginPass(const ClusterState& state) {
@@ -50,13 +51,6 @@
   stopping_.clear();
 }
 
-std::optional<Placement> CellPlacer::PlaceNext(const ClusterState& state, JobId job) {
-  if (auto placement = PlaceGuaranteed(state, job)) {
-    return placement;
-  }
-  return PlaceBorrowed(state, job);
-}
-
 bool CellPlacer::HasIdleCell(TeamId team, const GangShape& shape) const {
   for (const auto& cells : packing_.cells(team)) {
     for (const CellBinding& it : cells) {
@@ -108,17 +102,17 @@
   return keys;
 }
 
-std::optional<Placement> CellPlacer::PlaceGuaranteed(const ClusterState& state, JobId job) {
+std::optional<Placement> CellPlacer::PlaceInCell(const ClusterState& state, JobId job) {
   for (const CellKey& key : CellsFor(*state.FindJob(job))) {
-    if (auto placement = PlaceInCell(state, job, key)) {
+    if (auto placement = PlaceIn(state, job, key)) {
       return placement;
     }
   }
   return std::nullopt;
 }
 
-std::optional<Placement> CellPlacer::PlaceInCell(const ClusterState& state, JobId job,
-                                                 const CellKey& key) {
+std::optional<Placement> CellPlacer::PlaceIn(const ClusterState& state, JobId job,
+                                             const CellKey& key) {
   const JobEntry& entry = *state.FindJob(job);
   if (auto placement = UseWorkers(state, job, key, FreeInBinding(entry, key))) {
     return placement;
@@ -200,7 +194,7 @@
   return workers;
 }
 
-std::optional<Placement> CellPlacer::PlaceBorrowed(const ClusterState& state, JobId job) {
+std::optional<Placement> CellPlacer::PlaceBorrowing(const ClusterState& state, JobId job) {
   const JobEntry& entry = *state.FindJob(job);
   if (!state.team(entry.team).team.may_borrow()) {
     return std::nullopt;
--- a/src/decision/job_queue.cc
+++ b/src/decision/job_queue.cc
@@ -33,11 +33,22 @@
 }
 
 void JobQueue::Grant(TeamId team, std::uint32_t accelerators) {
-  std::erase_if(turns_, [team](const Turn& it) { return it.team == team; });
+  RemoveTurn(team);
   granted_[team] += accelerators;
   AddTurn(team);
 }
 
+void JobQueue::Requeue(const QueuedJob& job) {
+  auto& queued = jobs_[job.team];
+  queued.insert(std::upper_bound(queued.begin(), queued.end(), job, std::greater()), job);
+  RemoveTurn(job.team);
+  AddTurn(job.team);
+}
+
+void JobQueue::RemoveTurn(TeamId team) {
+  std::erase_if(turns_, [team](const Turn& it) { return it.team == team; });
+}
+
 double JobQueue::ShareOf(TeamId team) const {
   const auto it = granted_.find(team);
   const std::uint32_t granted = it == granted_.end() ? 0 : it->second;
