Count no job of the reserving pass as backfill

Two large borrowers stopped each other in turn: a job placed by the pass that made a reservation has a later offset than the reservation and was stopped as backfill. The offset is now taken once that pass is applied.

--- a/include/clementineloom/decision/reservation.h
+++ b/include/clementineloom/decision/reservation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "clementineloom/model/job_id.h"
@@ -15,8 +16,9 @@
   std::vector<WorkerId> workers;
   std::uint16_t accelerators = 0;
   /// Jobs placed on the workers after this offset are backfill, and stop when the job could start
-  /// but for them.
-  LogOffset made_at;
+  /// but for them. Not set until the placements of the pass that made the reservation are applied,
+  /// as those are no backfill.
+  std::optional<LogOffset> made_at;
 
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
--- a/src/decision/reservations.cc
+++ b/src/decision/reservations.cc
@@ -50,6 +50,11 @@
            !std::ranges::all_of(it.second.workers,
                                 [&](WorkerId worker) { return state.IsPlaceable(worker); });
   });
+  for (auto& [job, reservation] : reservations_) {
+    if (!reservation.made_at) {
+      reservation.made_at = state.applied_offset();
+    }
+  }
 }
 
 void Reservations::Add(const ClusterState& state, const WorkerRooms& rooms, JobId job) {
@@ -77,8 +82,8 @@
     }
   }
   if (!best.empty()) {
-    reservations_.emplace(job, Reservation{job, std::move(best), shape.accelerators_per_worker(),
-                                           state.applied_offset()});
+    reservations_.emplace(
+        job, Reservation{job, std::move(best), shape.accelerators_per_worker(), std::nullopt});
   }
 }
 
@@ -96,7 +101,8 @@
       continue;
     }
     for (const JobId it : entry.jobs) {
-      const bool is_later = state.FindJob(it)->token.value() > reservation.made_at.value();
+      const bool is_later =
+          reservation.made_at && state.FindJob(it)->token.value() > reservation.made_at->value();
       if (is_later == backfill) {
         jobs.push_back(it);
       }
