Search loose fits and retry after configuration changes

Three faults of the packing, each found by a random sequence: the search tried only the tightest workers of a domain and missed packings that need a looser choice; shapes without a place were not tried again after another guarantee became smaller; and a worker that moved to another rack and was lost between two decisions was still found by searches for one worker. The last step now tries subsets of the workers, at most 20 a domain, and is left out when the shapes exceed the room in total.

--- a/include/clementineloom/decision/guarantee_packing.h
+++ b/include/clementineloom/decision/guarantee_packing.h
@@ -67,7 +67,8 @@
   static constexpr int kRepairSteps = 256;
   static constexpr int kUseSteps = 16;
   static constexpr std::int64_t kNoFailure = -1;
-  static constexpr int kRepackSteps = 2'000;
+  static constexpr std::size_t kChoicesTried = 20;
+  static constexpr int kRepackSteps = 20'000;
 
   using Workers = std::vector<WorkerId>;
 
@@ -113,6 +114,9 @@
   /// Unbinds the cells on a worker that came back in another rack.
   void UnbindMoved(const ClusterState& state, WorkerId worker);
   void UnbindOverbooked(const ClusterState& state, WorkerId worker, std::vector<CellKey>& dirty);
+  /// Sets of workers of a domain that can hold the idle part.
+  [[nodiscard]] std::vector<Workers> Choices(const ClusterState& state, const CellKey& key,
+                                             std::uint32_t domain) const;
   void SortBySize(std::vector<CellKey>& keys) const;
   bool Bind(const ClusterState& state, const CellKey& key, int depth);
   bool BindEach(const ClusterState& state, std::vector<CellKey> keys, int depth);
--- a/src/decision/detail/capacity_index.cc
+++ b/src/decision/detail/capacity_index.cc
@@ -23,6 +23,7 @@
       Count(state, worker, n, -1);
     }
     amount = 0;
+    workers_.Put(worker.value(), 0);
     racks_[worker.value()] = rack;
   }
   if (amount == accelerators) {
--- a/src/decision/guarantee_packing.cc
+++ b/src/decision/guarantee_packing.cc
@@ -96,6 +96,8 @@
 }
 
 void GuaranteePacking::ReadConfig(const ClusterState& state) {
+  // Smaller guarantees may leave room for a shape that had none.
+  room_at_failure_ = kNoFailure;
   cells_.resize(state.teams().size());
   for (std::uint32_t n = 0; n < cells_.size(); ++n) {
     ReadTeam(state, TeamId(n));
--- a/src/decision/guarantee_search.cc
+++ b/src/decision/guarantee_search.cc
@@ -290,6 +290,13 @@
     }
   }
   std::erase_if(keys, [this](const CellKey& it) { return IdleDemand(it).workers == 0; });
+  std::int64_t needed = 0;
+  for (const CellKey& it : keys) {
+    needed += SizeOf(it);
+  }
+  if (needed > rooms_.room_in_all()) {
+    return false;
+  }
   SortBySize(keys);
   for (const CellKey& it : keys) {
     SetIdle(state, it, {});
@@ -309,21 +316,57 @@
   if (n == keys.size()) {
     return true;
   }
-  const auto fixed = FixedDomain(state, keys[n]);
-  const auto domains =
-      fixed ? std::vector{*fixed} : rooms_.slack().Domains(IdleDemand(keys[n]), kDomainsTried);
+  const CellKey& key = keys[n];
+  const GangDemand demand = IdleDemand(key);
+  const auto fixed = FixedDomain(state, key);
+  const auto domains = fixed ? std::vector{*fixed} : rooms_.slack().Domains(demand, kDomainsTried);
   for (const std::uint32_t domain : domains) {
-    if (steps_left_ <= 0) {
-      return false;
-    }
-    --steps_left_;
-    if (BindInDomain(state, keys[n], domain, {}) && RepackFrom(state, keys, n + 1)) {
-      return true;
+    for (Workers& workers : Choices(state, key, domain)) {
+      if (--steps_left_ <= 0) {
+        return false;
+      }
+      SetIdle(state, key, {demand.accelerators, std::move(workers)});
+      unbound_.erase(key);
+      if (RepackFrom(state, keys, n + 1)) {
+        return true;
+      }
+      SetIdle(state, key, {});
+      unbound_.insert(key);
     }
-    SetIdle(state, keys[n], {});
-    unbound_.insert(keys[n]);
   }
   return false;
 }
 
+std::vector<GuaranteePacking::Workers> GuaranteePacking::Choices(const ClusterState& state,
+                                                                 const CellKey& key,
+                                                                 std::uint32_t domain) const {
+  const GangDemand demand = IdleDemand(key);
+  Workers fitting;
+  detail::ForEachWorker(state, demand.adjacency, domain, [&](WorkerId it) {
+    if (rooms_.slack().Get(it) >= demand.accelerators && !IsUsed(key, it)) {
+      fitting.push_back(it);
+    }
+  });
+  if (fitting.size() < demand.workers) {
+    return {};
+  }
+  std::ranges::stable_sort(fitting, {}, [&](WorkerId it) { return rooms_.slack().Get(it); });
+  const auto n = static_cast<std::ptrdiff_t>(demand.workers);
+  std::vector<Workers> choices;
+  // Best fit first, then the other subsets in order, then the loosest fit.
+  std::vector<bool> is_taken(fitting.size(), false);
+  std::fill(is_taken.begin(), is_taken.begin() + n, true);
+  do {
+    Workers& choice = choices.emplace_back();
+    for (std::size_t it = 0; it < fitting.size(); ++it) {
+      if (is_taken[it]) {
+        choice.push_back(fitting[it]);
+      }
+    }
+  } while (choices.size() < kChoicesTried &&
+           std::prev_permutation(is_taken.begin(), is_taken.end()));
+  choices.emplace_back(fitting.end() - n, fitting.end());
+  return choices;
+}
+
 }  // namespace clementineloom
