--- a/tests/decision/cell_placer_test.cc
+++ b/tests/decision/cell_placer_test.cc
@@ -22,7 +22,7 @@
     return placement->kind();
   }
 
-  using ClusterFixture::Apply;
+  using ClusterRecorder::Apply;
 
   CellPlacer placer_;
 };
