Search again whenever the layout of the room changed

Shapes without a place were tried again only when the total room had grown. A worker that moved to another rack, or two changes that cancelled in the total, left a shape unprotected although a packing existed (random sequence, now a named test). The search now runs again after every change of workers, guarantees or cells, unless the total room rules it out; with more than 512 cells a change of the cells alone tries displacement only.

--- a/include/clementineloom/decision/detail/worker_rooms.h
+++ b/include/clementineloom/decision/detail/worker_rooms.h
@@ -18,7 +18,8 @@
   /// @brief Reads all workers; drops all reservations.
   void Rebuild(const ClusterState& state);
   /// @brief Reads one worker again; keeps its reservations.
-  void Refresh(const ClusterState& state, WorkerId worker);
+  /// @return whether the worker's capacity or rack changed
+  bool Refresh(const ClusterState& state, WorkerId worker);
 
   /// @brief Takes accelerators that a placement decided in this pass will hold; less than 0 gives
   /// them back. Refresh undoes it.
--- a/include/clementineloom/decision/guarantee_packing.h
+++ b/include/clementineloom/decision/guarantee_packing.h
@@ -9,6 +9,7 @@
 
 #include "clementineloom/decision/cell_key.h"
 #include "clementineloom/decision/detail/cell_binding.h"
+#include "clementineloom/decision/detail/change_follower.h"
 #include "clementineloom/decision/detail/gang_demand.h"
 #include "clementineloom/decision/detail/idle_part.h"
 #include "clementineloom/decision/detail/worker_rooms.h"
@@ -66,7 +67,9 @@
   static constexpr std::size_t kDomainsTried = 64;
   static constexpr int kRepairSteps = 256;
   static constexpr int kUseSteps = 16;
-  static constexpr std::int64_t kNoFailure = -1;
+  // More than the cells of a cluster of today. With more, only new guarantees and new or lost
+  // workers pack all of them again, because that takes time in proportion to the cells.
+  static constexpr std::size_t kCellsRepackedAlways = 512;
   static constexpr std::size_t kChoicesTried = 20;
   static constexpr int kRepackSteps = 20'000;
 
@@ -74,9 +77,11 @@
 
   void Rebuild(const ClusterState& state);
   void ReadChanges(const ClusterState& state);
+  void ReadDataCentres(const ClusterState& state);
   void ReadConfig(const ClusterState& state);
   void ReadTeam(const ClusterState& state, TeamId team);
   void ReadJob(const ClusterState& state, JobId job);
+  void ReadTouchedCells(const ClusterState& state);
   void ReadCell(const ClusterState& state, const CellKey& key);
   void ResetTouched();
 
@@ -103,7 +108,7 @@
                                                                const CellKey& key) const;
   [[nodiscard]] Workers LeastReserved(const ClusterState& state, const CellKey& key,
                                       std::uint32_t domain) const;
-  bool Repack(const ClusterState& state);
+  void Repack(const ClusterState& state, bool has_new_layout);
   bool RepackFrom(const ClusterState& state, const std::vector<CellKey>& keys, std::size_t n);
   [[nodiscard]] std::int32_t ChargeOf(const ClusterState& state, const CellKey& key,
                                       const Placement& placement) const;
@@ -128,17 +133,18 @@
   std::set<CellKey> unbound_;
   std::unordered_map<JobId, CellKey> cell_of_job_;
 
-  ChangeJournal::Identity followed_;
-  std::uint64_t next_change_ = 0;
+  detail::ChangeFollower follower_;
+  /// By data centre, as last read.
+  std::vector<bool> in_service_;
   std::vector<WorkerId> touched_workers_;
-  std::vector<JobId> touched_jobs_;
   std::set<CellKey> touched_cells_;
 
   /// Former places of idle parts, for Rollback.
   std::vector<std::pair<CellKey, detail::IdlePart>> undo_;
   int steps_left_ = 0;
-  /// Accelerators outside cells in use when the last search for unbound cells failed.
-  std::int64_t room_at_failure_ = kNoFailure;
+  /// What changed since the last search for unbound cells: workers or guarantees, or the cells.
+  bool has_new_layout_ = false;
+  bool has_new_demand_ = false;
 };
 
 }  // namespace clementineloom
--- a/src/decision/detail/worker_rooms.cc
+++ b/src/decision/detail/worker_rooms.cc
@@ -1,6 +1,7 @@
 #include "clementineloom/decision/detail/worker_rooms.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "clementineloom/decision/detail/cell_charge.h"
 
@@ -34,16 +35,19 @@
   slack_.Reset(state);
   configured_.Reset(state);
   for (std::uint32_t n = 0; n < rooms_.size(); ++n) {
-    Refresh(state, WorkerId(n));
+    (void)Refresh(state, WorkerId(n));
   }
 }
 
-void WorkerRooms::Refresh(const ClusterState& state, WorkerId worker) {
+bool WorkerRooms::Refresh(const ClusterState& state, WorkerId worker) {
   if (worker.value() >= rooms_.size()) {
     rooms_.resize(worker.value() + 1);
   }
+  const WorkerRoom& room = rooms_[worker.value()];
+  const std::pair before(room.capacity, room.rack);
   Read(state, worker);
   Index(state, worker);
+  return before != std::pair(room.capacity, room.rack);
 }
 
 void WorkerRooms::Read(const ClusterState& state, WorkerId worker) {
--- a/src/decision/guarantee_packing.cc
+++ b/src/decision/guarantee_packing.cc
@@ -1,7 +1,6 @@
 #include "clementineloom/decision/guarantee_packing.h"
 
 #include <algorithm>
-#include <variant>
 
 #include "clementineloom/decision/detail/cell_charge.h"
 #include "clementineloom/decision/detail/sort_unique.h"
@@ -13,14 +12,15 @@
 using detail::GangDemand;
 
 void GuaranteePacking::Follow(const ClusterState& state) {
-  const ChangeJournal& journal = state.journal();
-  if (followed_ == nullptr || followed_ != journal.identity() || !journal.Holds(next_change_)) {
+  if (!follower_.Follow(state)) {
     Rebuild(state);
-  } else {
+    return;
+  }
+  const bool is_unchanged = follower_.jobs().empty() && follower_.workers().empty() &&
+                            !follower_.config_changed() && touched_workers_.empty();
+  if (!is_unchanged) {
     ReadChanges(state);
   }
-  followed_ = journal.identity();
-  next_change_ = journal.end();
 }
 
 void GuaranteePacking::Rebuild(const ClusterState& state) {
@@ -28,76 +28,76 @@
   cells_.clear();
   unbound_.clear();
   cell_of_job_.clear();
+  ReadDataCentres(state);
   ResetTouched();
-  for (const JobId job : state.active_jobs()) {
-    touched_jobs_.push_back(job);
-  }
   ReadConfig(state);
-  for (const JobId job : touched_jobs_) {
+  for (const JobId job : state.active_jobs()) {
     ReadJob(state, job);
   }
-  for (const CellKey& key : touched_cells_) {
-    ReadCell(state, key);
-  }
+  ReadTouchedCells(state);
   ResetTouched();
   BindUnbound(state);
 }
 
 void GuaranteePacking::ReadChanges(const ClusterState& state) {
-  const ChangeJournal& journal = state.journal();
-  bool config_changed = false;
-  for (std::uint64_t n = next_change_; n < journal.end(); ++n) {
-    const StateChange& change = journal.at(n);
-    if (const auto* worker = std::get_if<WorkerId>(&change)) {
-      touched_workers_.push_back(*worker);
-    } else if (const auto* job = std::get_if<JobId>(&change)) {
-      touched_jobs_.push_back(*job);
-    } else {
-      config_changed = true;
-    }
-  }
-  if (touched_workers_.empty() && touched_jobs_.empty() && !config_changed) {
-    return;
-  }
-  if (config_changed) {
-    touched_workers_.clear();
-    for (std::uint32_t n = 0; n < state.workers().size(); ++n) {
-      touched_workers_.emplace_back(n);
-    }
+  if (follower_.config_changed()) {
+    ReadDataCentres(state);
     ReadConfig(state);
   }
+  const auto& workers = follower_.workers();
+  touched_workers_.insert(touched_workers_.end(), workers.begin(), workers.end());
   detail::SortUnique(touched_workers_);
   for (const WorkerId worker : touched_workers_) {
     UnbindMoved(state, worker);
-    rooms_.Refresh(state, worker);
+    has_new_layout_ |= rooms_.Refresh(state, worker);
   }
-  for (const JobId job : touched_jobs_) {
+  for (const JobId job : follower_.jobs()) {
     ReadJob(state, job);
   }
-  for (const CellKey& key : touched_cells_) {
-    if (HasCell(key)) {
-      ReadCell(state, key);
-    }
-  }
+  ReadTouchedCells(state);
   std::vector<CellKey> dirty;
   for (const WorkerId worker : touched_workers_) {
     UnbindOverbooked(state, worker, dirty);
   }
-  // What they lose is in unbound_.
+  has_new_demand_ |= !dirty.empty();
   ResetTouched();
   BindUnbound(state);
 }
 
+void GuaranteePacking::ReadTouchedCells(const ClusterState& state) {
+  for (const CellKey& key : touched_cells_) {
+    if (HasCell(key)) {
+      ReadCell(state, key);
+    }
+  }
+}
+
 void GuaranteePacking::ResetTouched() {
   touched_workers_.clear();
-  touched_jobs_.clear();
   touched_cells_.clear();
   undo_.clear();
 }
 
+// The workers of data centres that went out of or into service change with them.
+void GuaranteePacking::ReadDataCentres(const ClusterState& state) {
+  const auto& data_centres = state.data_centres();
+  in_service_.resize(data_centres.size(), false);
+  for (std::size_t n = 0; n < data_centres.size(); ++n) {
+    const bool in_service = data_centres[n].data_centre.in_service();
+    if (in_service_[n] == in_service) {
+      continue;
+    }
+    in_service_[n] = in_service;
+    for (const RackId rack : data_centres[n].racks) {
+      const auto& workers = state.rack(rack).workers;
+      touched_workers_.insert(touched_workers_.end(), workers.begin(), workers.end());
+    }
+  }
+}
+
 void GuaranteePacking::ReadConfig(const ClusterState& state) {
   // Smaller guarantees may leave room for a shape that had none.
-  room_at_failure_ = kNoFailure;
+  has_new_layout_ = true;
   cells_.resize(state.teams().size());
   for (std::uint32_t n = 0; n < cells_.size(); ++n) {
     ReadTeam(state, TeamId(n));
@@ -121,8 +121,11 @@
   cells.resize(guarantees);
   for (std::size_t n = 0; n < guarantees; ++n) {
     const Guarantee& guarantee = entry.team.guarantees()[n];
+    const bool is_changed = !cells[n].empty() && cells[n].front().shape != guarantee.shape();
+    const std::size_t kept =
+        is_changed ? 0 : std::min<std::size_t>(cells[n].size(), guarantee.count());
     cells[n].resize(guarantee.count(), CellBinding{guarantee.shape(), {}, {}, 0, {}});
-    for (std::size_t m = 0; m < guarantee.count(); ++m) {
+    for (std::size_t m = kept; m < guarantee.count(); ++m) {
       cells[n][m].shape = guarantee.shape();
       touched_cells_.insert(CellKey::At(team, n, m));
     }
@@ -173,6 +176,7 @@
   if (is_bound && used == cell.used && used_units == cell.used_units) {
     return;
   }
+  has_new_demand_ = true;
   Workers preferred = cell.idle.workers;
   preferred.insert(preferred.end(), cell.used.begin(), cell.used.end());
   cell.used = std::move(used);
--- a/src/decision/guarantee_search.cc
+++ b/src/decision/guarantee_search.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "clementineloom/decision/detail/domain_workers.h"
 #include "clementineloom/decision/detail/sort_unique.h"
@@ -263,22 +264,23 @@
 }
 
 void GuaranteePacking::BindUnbound(const ClusterState& state) {
-  const bool has_grown = room_at_failure_ == kNoFailure || rooms_.room_in_all() > room_at_failure_;
+  const bool has_new_layout = std::exchange(has_new_layout_, false);
+  const bool has_new_demand = std::exchange(has_new_demand_, false);
+  if (unbound_.empty() || (!has_new_layout && !has_new_demand)) {
+    return;
+  }
   steps_left_ = kRepairSteps;
   std::vector<CellKey> keys(unbound_.begin(), unbound_.end());
   SortBySize(keys);
   for (const CellKey& it : keys) {
-    (void)Bind(state, it, has_grown ? kDisplacementDepth : 0);
+    (void)Bind(state, it, kDisplacementDepth);
   }
-  if (unbound_.empty() || (has_grown && Repack(state))) {
-    room_at_failure_ = kNoFailure;
-    return;
+  if (!unbound_.empty()) {
+    Repack(state, has_new_layout);
   }
-  const std::int64_t room = rooms_.room_in_all();
-  room_at_failure_ = has_grown ? room : std::min(room_at_failure_, room);
 }
 
-bool GuaranteePacking::Repack(const ClusterState& state) {
+void GuaranteePacking::Repack(const ClusterState& state, bool has_new_layout) {
   const std::size_t mark = undo_.size();
   const std::set<CellKey> unbound_before = unbound_;
   std::vector<CellKey> keys;
@@ -294,8 +296,9 @@
   for (const CellKey& it : keys) {
     needed += SizeOf(it);
   }
-  if (needed > rooms_.room_in_all()) {
-    return false;
+  const bool is_small = keys.size() <= kCellsRepackedAlways;
+  if (needed > rooms_.room_in_all() || !(is_small || has_new_layout)) {
+    return;
   }
   SortBySize(keys);
   for (const CellKey& it : keys) {
@@ -303,12 +306,10 @@
     unbound_.insert(it);
   }
   steps_left_ = kRepackSteps + static_cast<int>(keys.size());
-  if (RepackFrom(state, keys, 0)) {
-    return true;
+  if (!RepackFrom(state, keys, 0)) {
+    Rollback(state, mark);
+    unbound_ = unbound_before;
   }
-  Rollback(state, mark);
-  unbound_ = unbound_before;
-  return false;
 }
 
 bool GuaranteePacking::RepackFrom(const ClusterState& state, const std::vector<CellKey>& keys,
--- a/tests/decision/decision_property_test.cc
+++ b/tests/decision/decision_property_test.cc
@@ -106,5 +106,26 @@
           {CommandKind::kDecide, 0, 0}});
 }
 
+// Guards against shapes that are not searched again after a worker came back in another rack: the
+// room in all was the same, its layout was not.
+TEST_F(DecisionPropertyTest, Decide_AfterWorkerMovesRack_SearchesAgain) {
+  Replay({{CommandKind::kSetTeam, 59, 0},
+          {CommandKind::kSubmitRackGang, 0, 3},
+          {CommandKind::kQuarantineWorker, 4, 0},
+          {CommandKind::kLeaveWorker, 42, 0},
+          {CommandKind::kLoseWorker, 27, 0},
+          {CommandKind::kDecide, 0, 0},
+          {CommandKind::kHealWorker, 18, 0},
+          {CommandKind::kDecideOnOtherReplica, 0, 0},
+          {CommandKind::kMoveWorker, 19, 0},
+          {CommandKind::kLoseWorker, 6, 0},
+          {CommandKind::kAdvanceTime, 9, 0},
+          {CommandKind::kSubmitSmall, 0, 0},
+          {CommandKind::kDecide, 0, 0},
+          {CommandKind::kLoseWorker, 0, 0},
+          {CommandKind::kSubmitSmall, 45, 12},
+          {CommandKind::kDecideOnOtherReplica, 0, 0}});
+}
+
 }  // namespace
 }  // namespace clementineloom
