--- a/bench/decision_speed_bench.cc
+++ b/bench/decision_speed_bench.cc
@@ -59,6 +59,12 @@
     return Apply(JobSubmitted{key, spec, Instant()}).job();
   }
 
+  /// Sets a team to what it is.
+  void TouchTeam(int n) {
+    const TeamId team(static_cast<std::uint32_t>(n % teams_));
+    Edit(SetTeam{state_.team(team).team});
+  }
+
   std::string TeamOf(int n) const { return "t" + std::to_string(n % teams_); }
 
  private:
@@ -156,6 +162,42 @@
   for (std::size_t n = 0; n < placed.size(); n += 2) {
     (void)cluster.Apply(JobFinished{placed[n], 1, JobOutcome::kSucceeded, Duration(1)});
   }
+  placer.BeginPass(cluster.state());
+}
+
+// The one team with a guarantee of this size starts and ends its gang again and again.
+void RepeatGuaranteedGang(Cluster& cluster, CellPlacer& placer) {
+  const GangShape shape = Shape(kAccelerators, 512, Adjacency::kDataCentre);
+  Times times;
+  Times release;
+  for (int n = 0; n < 40; ++n) {
+    const JobId job = cluster.Submit(cluster.TeamOf(0), shape);
+    auto placement = times.Measure([&] { return placer.Place(cluster.state(), job, Instant()); });
+    if (!placement) {
+      return;
+    }
+    (void)cluster.Apply(JobsPlaced{cluster.state().applied_offset(), {std::move(*placement)}});
+    placer.BeginPass(cluster.state());
+    (void)cluster.Apply(JobFinished{job, 1, JobOutcome::kSucceeded, Duration(1)});
+    (void)release.Measure([&] {
+      placer.BeginPass(cluster.state());
+      return 0;
+    });
+  }
+  times.Print("guaranteed gang of 512");
+  release.Print("its end");
+}
+
+void ChangeConfiguration(Cluster& cluster, CellPlacer& placer) {
+  Times times;
+  for (int n = 0; n < 20; ++n) {
+    cluster.TouchTeam(n);
+    (void)times.Measure([&] {
+      placer.BeginPass(cluster.state());
+      return 0;
+    });
+  }
+  times.Print("change of configuration");
 }
 
 void Run(int workers) {
@@ -173,9 +215,11 @@
   PlaceMany(cluster, placer, Shape(kAccelerators, 4, Adjacency::kRack), std::min(workers / 8, 500),
             "rack gang of 4");
   if (workers > 5'000) {
+    RepeatGuaranteedGang(cluster, placer);
     PlaceMany(cluster, placer, Shape(kAccelerators, 512, Adjacency::kDataCentre), 40,
               "data centre gang of 512");
   }
+  ChangeConfiguration(cluster, placer);
   DefaultDecisionEngine engine;
   (void)engine.Decide(cluster.state(), Instant());
   for (int n = 0; n < 1'000; ++n) {
