Tell guarantees broken by placements from those broken by losses

Cause: the benchmark counted points in time at which a guarantee could not be reclaimed, but not whether a placement or a loss had led there.

The check now runs after each event, before and after each quarantine, and after the decisions; a change from fits to does not fit goes to broken_by_placement or broken_by_event. The strict count stays as it was.

Ruled out: leaving out the points that follow a loss.

Losses break a guarantee when guaranteed work fills part of a shape whose other workers are gone.

--- a/bench/support/report.cc
+++ b/bench/support/report.cc
@@ -72,6 +72,8 @@
   };
   write("unreclaimable", &RunFigures::unreclaimable);
   write("unreclaimable_reduced", &RunFigures::unreclaimable_reduced);
+  write("broken_by_placement", &RunFigures::broken_by_placement);
+  write("broken_by_event", &RunFigures::broken_by_event);
   write("reclaim_undecided", &RunFigures::reclaim_undecided);
   write("reclaim_checks", &RunFigures::reclaim_checks);
   write("refused", &RunFigures::refused);
--- a/bench/support/run_figures.h
+++ b/bench/support/run_figures.h
@@ -31,6 +31,10 @@
   std::uint64_t unreclaimable = 0;
   /// The same while a worker or the data centre was away.
   std::uint64_t unreclaimable_reduced = 0;
+  /// How often guarantees became unreclaimable by placements.
+  std::uint64_t broken_by_placement = 0;
+  /// How often they became so because a worker was lost or quarantined, or the data centre left.
+  std::uint64_t broken_by_event = 0;
   std::uint64_t reclaim_undecided = 0;
   std::uint64_t reclaim_checks = 0;
   std::uint64_t refused = 0;
--- a/bench/support/run_observer.cc
+++ b/bench/support/run_observer.cc
@@ -23,10 +23,19 @@
 
 }  // namespace
 
+void RunObserver::AddEvent(const ClusterState& state) {
+  figures_.broken_by_event += Breaks(CheckReclaim(state, accounting_)) ? 1 : 0;
+}
+
+void RunObserver::AddDecision(const ClusterState& state) {
+  figures_.broken_by_placement += Breaks(CheckReclaim(state, accounting_)) ? 1 : 0;
+}
+
 void RunObserver::AddState(const ClusterState& state, Instant now) {
   Accumulate(now);
   last_ = Measure(state);
-  CheckGuarantees(state);
+  AddDecision(state);
+  CountResult(state);
 }
 
 RunFigures RunObserver::Figures() const {
@@ -58,18 +67,23 @@
   sums_.largest_placeable += held * last_.largest_placeable;
 }
 
-void RunObserver::CheckGuarantees(const ClusterState& state) {
-  const PackingResult result = CheckReclaim(state, accounting_);
+void RunObserver::CountResult(const ClusterState& state) {
   ++figures_.reclaim_checks;
-  if (result == PackingResult::kUndecided) {
+  if (last_result_ == PackingResult::kUndecided) {
     ++figures_.reclaim_undecided;
-  } else if (result == PackingResult::kDoesNotFit && IsWholeClusterInService(state)) {
+  } else if (last_result_ == PackingResult::kDoesNotFit && IsWholeClusterInService(state)) {
     ++figures_.unreclaimable;
-  } else if (result == PackingResult::kDoesNotFit) {
+  } else if (last_result_ == PackingResult::kDoesNotFit) {
     ++figures_.unreclaimable_reduced;
   }
 }
 
+bool RunObserver::Breaks(PackingResult result) {
+  const bool breaks = last_result_ == PackingResult::kFits && result == PackingResult::kDoesNotFit;
+  last_result_ = result;
+  return breaks;
+}
+
 RunObserver::Sample RunObserver::Measure(const ClusterState& state) {
   const auto shape = LargestWaitingShape(state);
   if (!shape) {
--- a/bench/support/run_observer.h
+++ b/bench/support/run_observer.h
@@ -7,6 +7,7 @@
 #include "clementineloom/model/instant.h"
 #include "clementineloom/state/cluster_state.h"
 #include "support/guarantee_accounting.h"
+#include "support/packing_result.h"
 #include "support/run_figures.h"
 
 namespace clementineloom::bench {
@@ -20,6 +21,12 @@
     times_[static_cast<std::size_t>(size_class)].push_back(time);
   }
 
+  /// @brief Notes what an event or a quarantine did to the guarantees.
+  void AddEvent(const ClusterState& state);
+
+  /// @brief Notes what the records since the last call did to them, all of them no events.
+  void AddDecision(const ClusterState& state);
+
   /// @brief Notes the state that holds from `now` on, until the next call.
   void AddState(const ClusterState& state, Instant now);
 
@@ -38,7 +45,9 @@
   };
 
   void Accumulate(Instant now);
-  void CheckGuarantees(const ClusterState& state);
+  void CountResult(const ClusterState& state);
+  /// Whether the guarantees fitted at the last call and do not fit now.
+  bool Breaks(PackingResult result);
   [[nodiscard]] static Sample Measure(const ClusterState& state);
 
   const GuaranteeAccounting accounting_;
@@ -47,6 +56,7 @@
   Sample last_;
   Sample sums_;
   double waiting_time_ = 0;
+  PackingResult last_result_ = PackingResult::kFits;
   RunFigures figures_;
 };
 
--- a/bench/support/run_world.cc
+++ b/bench/support/run_world.cc
@@ -55,13 +55,21 @@
   }
   now_ = event.at;
   std::visit([&](const auto& it) { Happen(it); }, event.body);
+  observer_.AddEvent(state_);
   return true;
 }
 
 bool RunWorld::Append(std::vector<RecordBody> records) {
   bool has_effect = false;
   for (RecordBody& body : records) {
+    const bool is_quarantine = std::holds_alternative<WorkerConditionChanged>(body);
+    if (is_quarantine) {
+      observer_.AddDecision(state_);
+    }
     const ApplyOutcome outcome = Apply(std::move(body));
+    if (is_quarantine) {
+      observer_.AddEvent(state_);
+    }
     const auto& codes = outcome.placement_codes();
     const bool is_void =
         !outcome.accepted() || (!codes.empty() && std::ranges::count(codes, ResultCode::kOk) == 0);
