Add loomctl, the operators' command line

Cause: operators state an intent, read the plan and confirm it; they also need to see teams, jobs, workers and which instance has which revision.

Ruled out: one option parser for all verbs; options of another verb would be accepted and ignored. Each verb has a file, options of its own and examples.

--- /dev/null
+++ b/src/ctl/column.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <string_view>
+
+namespace clementineloom::ctl {
+
+/// @brief A column of a table and the member of an object that fills it.
+struct Column {
+  std::string_view header;
+  /// Names of nested members joined by dots, for example "spec.team".
+  std::string_view path;
+
+  friend auto operator<=>(const Column&, const Column&) = default;
+};
+
+}  // namespace clementineloom::ctl
--- /dev/null
+++ b/src/ctl/json_format.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <ostream>
+
+#include "ctl/output_format.h"
+
+namespace clementineloom::ctl {
+
+/// @brief One JSON value a line, for programs.
+class JsonFormat {
+ public:
+  void Write(std::ostream& out, const Report& report) const;
+  void Write(std::ostream& out, const Refusal& refusal) const;
+};
+
+static_assert(OutputFormat<JsonFormat>);
+
+}  // namespace clementineloom::ctl
--- /dev/null
+++ b/src/ctl/verbs/team_list.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "ctl/verb.h"
+
+namespace clementineloom::ctl {
+
+/// @brief The verb `team list`.
+[[nodiscard]] Verb TeamListVerb();
+
+}  // namespace clementineloom::ctl
