Allow port 0 for addresses that a daemon listens on

Cause: tests and the demonstration let the kernel choose ports, and the settings check refused port 0 for every address.

Ruled out: port 0 for addresses that a daemon connects to; it is a mistake there and stays one (case AddressWithPortZero).

--- a/src/settings/check_daemon_settings.cc
+++ b/src/settings/check_daemon_settings.cc
@@ -17,6 +17,10 @@
 void CheckAddressesDiffer(ObjectCheck& check, const std::map<std::string, std::string>& addresses) {
   std::map<std::string, std::string> keys;
   for (const auto& [key, address] : addresses) {
+    // The kernel chooses a different port for each of them.
+    if (address.ends_with(":0")) {
+      continue;
+    }
     const auto [it, is_new] = keys.emplace(address, key);
     if (!is_new) {
       check.Add(ResultCode::kDuplicateId, key, "the address is also that of " + it->second);
--- a/src/settings/daemon_fields.cc
+++ b/src/settings/daemon_fields.cc
@@ -33,7 +33,8 @@
       {Required("instance", ValueKind::kName, "name of this entry instance"), &S::instance},
       {Required("region", ValueKind::kName, "region that it runs in"), &S::region},
       {Required("data_centre", ValueKind::kName, "data centre that it runs in"), &S::data_centre},
-      {Required("admin", ValueKind::kAddress, "address of `/health` and `/metrics`"), &S::admin},
+      {Required("admin", ValueKind::kListenAddress, "address of `/health` and `/metrics`"),
+       &S::admin},
       {Required("log_service", ValueKind::kAddressList,
                 "front ends of the platform's log, tried in order"),
        &S::log_service},
@@ -57,7 +58,7 @@
 const std::vector<SettingsField<GatewaySettings>>& GatewayFields() {
   using S = GatewaySettings;
   static const std::vector<SettingsField<S>> fields{
-      {Required("listen", ValueKind::kAddress, "address for callers"), &S::listen},
+      {Required("listen", ValueKind::kListenAddress, "address for callers"), &S::listen},
       {Required("scheduler_rpc", ValueKind::kAddress, "RPC of the scheduler on the same instance"),
        &S::scheduler_rpc},
       {Number("max_connections", "", 1, 65'536, "connections of callers"), &S::max_connections},
@@ -88,7 +89,7 @@
 const std::vector<SettingsField<SchedulerSettings>>& SchedulerFields() {
   using S = SchedulerSettings;
   static const std::vector<SettingsField<S>> fields{
-      {Required("rpc", ValueKind::kAddress, "address for operators and peers"), &S::rpc},
+      {Required("rpc", ValueKind::kListenAddress, "address for operators and peers"), &S::rpc},
       {Number("lease_ms", "ms", 1'000, kHourMs, "lease of a running task"), &S::lease_ms},
       {Number("renew_interval_ms", "ms", 100, kHourMs, "time between two renewals of a lease"),
        &S::renew_interval_ms},
--- a/src/settings/object_check.cc
+++ b/src/settings/object_check.cc
@@ -22,6 +22,9 @@
     "kb", "bytes", "mb",  "kib",  "mib",     "gb", "percent", "records", "pct"};
 constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warning", "error"};
 
+constexpr std::uint16_t kKernelChoosesPort = 0;
+constexpr std::uint16_t kFirstPort = 1;
+
 // A key without its unit suffix: "lease" for "lease_ms".
 std::string_view StemOf(std::string_view key) {
   const std::size_t n = key.rfind('_');
@@ -40,7 +43,7 @@
 }
 
 // Why a text is no IP:PORT, or nothing if it is one.
-std::string_view AddressFault(std::string_view text) {
+std::string_view AddressFault(std::string_view text, std::uint16_t min_port) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) {
     return "has no port";
@@ -58,7 +61,7 @@
   const char* end = digits.data() + digits.size();
   std::uint16_t port = 0;
   const auto parsed = std::from_chars(digits.data(), end, port);
-  const bool is_port = parsed.ec == std::errc{} && parsed.ptr == end && port > 0;
+  const bool is_port = parsed.ec == std::errc{} && parsed.ptr == end && port >= min_port;
   return is_port ? "" : "has no port between 1 and 65535";
 }
 
@@ -117,7 +120,9 @@
       has_type = value.is_string();
       break;
     case ValueKind::kAddress:
-      return CheckAddress(spec.key, value);
+      return CheckAddress(spec.key, value, kFirstPort);
+    case ValueKind::kListenAddress:
+      return CheckAddress(spec.key, value, kKernelChoosesPort);
     case ValueKind::kAddressList:
       return CheckAddressList(spec, value);
     case ValueKind::kNumber:
@@ -176,13 +181,14 @@
   }
 }
 
-void ObjectCheck::CheckAddress(std::string_view key, const json::value& value) {
+void ObjectCheck::CheckAddress(std::string_view key, const json::value& value,
+                               std::uint16_t min_port) {
   if (!value.is_string()) {
     Add(ResultCode::kWrongType, key, "IP:PORT expected");
     return;
   }
   const std::string text(value.get_string());
-  if (const std::string_view fault = AddressFault(text); !fault.empty()) {
+  if (const std::string_view fault = AddressFault(text, min_port); !fault.empty()) {
     Add(ResultCode::kAddressNotNumeric, key, text + " " + std::string(fault));
   }
 }
@@ -199,7 +205,7 @@
   std::size_t n = 0;
   for (const json::value& it : value.get_array()) {
     const std::string key = std::string(spec.key) + "[" + std::to_string(n++) + "]";
-    CheckAddress(key, it);
+    CheckAddress(key, it, kFirstPort);
     if (it.is_string() && !seen.insert(it.get_string()).second) {
       Add(ResultCode::kDuplicateId, key, "the address stands twice in the list");
     }
--- a/src/settings/value_kind.h
+++ b/src/settings/value_kind.h
@@ -12,6 +12,8 @@
   kName,
   /// IP:PORT with a port other than 0.
   kAddress,
+  /// IP:PORT; the kernel chooses a port for 0.
+  kListenAddress,
   /// At least one address.
   kAddressList,
   kLogLevel,
@@ -31,6 +33,8 @@
       return "name";
     case ValueKind::kAddress:
       return "IP:PORT";
+    case ValueKind::kListenAddress:
+      return "IP:PORT to listen on";
     case ValueKind::kAddressList:
       return "list of IP:PORT";
     case ValueKind::kLogLevel:
--- a/tests/settings/settings_check_test.cc
+++ b/tests/settings/settings_check_test.cc
@@ -246,6 +246,15 @@
   }
 }
 
+// Guards against tests and demonstrations that have to guess free ports.
+TEST_F(SettingsCheckTest, CheckGatewaySettings_ListeningOnPortZero_FindsNoProblem) {
+  std::string text(kGatewayText);
+  for (const std::string& port : std::vector<std::string>{":9001", ":8080"}) {
+    text.replace(text.find(port), port.size(), ":0");
+  }
+  EXPECT_TRUE(Check(Kind::kGateway, text).empty());
+}
+
 // Guards against a table of mistakes that shrinks below the promised number.
 TEST_F(SettingsCheckTest, Cases_ByName_AreAtLeast25Kinds) {
   std::set<std::string> names;
