Drive tasks on workers and register workers from the instance list

Cause: placements were recorded and nothing started them; workers had to be registered by hand. Ruled out: one blocking call at a time (a data centre of silent workers would hold renewals of the others back past their lease of 10 s); releasing a gang before its stop is in the log (another scheduler could go on starting it). Before: placed jobs stay placed. Settings come from a file, decisions from DefaultDecisionEngine; images carry the new job and team fields. Conclusion: a job runs from submission to its end; peers' freshness and plans are not used yet.

--- a/src/codec/state_image_codec.cc
+++ b/src/codec/state_image_codec.cc
@@ -93,15 +93,21 @@
   return {{"team", detail::ToJson(entry.team)},
           {"deleted", entry.deleted},
           {"active_jobs", entry.active_jobs},
+          {"held_accelerators", entry.held_accelerators},
           {"cells", std::move(cells)}};
 }
 
 Result<TeamEntry> ReadTeamEntry(const JsonReader& json) {
   BOOST_LEAF_AUTO(object, json.Object("team"));
   BOOST_LEAF_AUTO(team, detail::ReadTeam(object));
-  TeamEntry entry{.team = std::move(team), .deleted = false, .active_jobs = 0, .cells = {}};
+  TeamEntry entry{.team = std::move(team),
+                  .deleted = false,
+                  .active_jobs = 0,
+                  .held_accelerators = 0,
+                  .cells = {}};
   BOOST_LEAF_ASSIGN(entry.deleted, json.Bool("deleted"));
   BOOST_LEAF_ASSIGN(entry.active_jobs, json.Number<std::uint32_t>("active_jobs"));
+  BOOST_LEAF_ASSIGN(entry.held_accelerators, json.Number<std::uint32_t>("held_accelerators"));
   BOOST_LEAF_AUTO(cells, json.Array("cells"));
   for (const json::value& it : *cells) {
     BOOST_LEAF_AUTO(row, ReadCells(it));
@@ -209,6 +215,7 @@
           {"guarantee_instance", job.guarantee_instance},
           {"attempt", job.attempt},
           {"failures", job.failures},
+          {"run_time_ms", job.run_time.count()},
           {"token", job.token.value()},
           {"allocations", ToJson(job.allocations)},
           {"failed_on", IdsToJson(job.failed_on)}};
@@ -227,6 +234,8 @@
   BOOST_LEAF_ASSIGN(job.guarantee_instance, json.Number<std::uint16_t>("guarantee_instance"));
   BOOST_LEAF_ASSIGN(job.attempt, json.Number<std::uint32_t>("attempt"));
   BOOST_LEAF_ASSIGN(job.failures, json.Number<std::uint32_t>("failures"));
+  BOOST_LEAF_AUTO(run_time, json.Signed("run_time_ms"));
+  job.run_time = Duration(run_time);
   BOOST_LEAF_AUTO(token, json.Number<std::uint64_t>("token"));
   job.token = FencingToken(token);
   BOOST_LEAF_ASSIGN(job.allocations, ReadAllocations(json));
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -4,29 +4,41 @@
 #include <utility>
 
 #include "clementineloom/concurrency/duty_thread.h"
-#include "clementineloom/decision/first_fit_placer.h"
+#include "clementineloom/decision/default_decision_engine.h"
 #include "net/parse_endpoint.h"
 #include "platform/http_log_client.h"
+#include "platform/http_worker_channel.h"
+#include "platform/instance_list_client.h"
 #include "platform/log_follower.h"
 #include "rpc/rpc_server.h"
 #include "scheduler/admin_duty.h"
 #include "scheduler/append_duty.h"
 #include "scheduler/decision_duty.h"
+#include "scheduler/instance_list_duty.h"
 #include "scheduler/rpc_duty.h"
+#include "scheduler/task_driver.h"
 
 namespace clementineloom::scheduler {
 namespace {
 
 using platform::HttpLogClient;
+using platform::HttpWorkerChannel;
+using platform::InstanceListClient;
 using std::chrono::milliseconds;
 
 // An operator's change is read back within some 20 ms; the rest is for a slow log.
 constexpr milliseconds kOperatorTimeout{5'000};
+// A worker that does not answer in this time is asked again; short against lease and start
+// deadline.
+constexpr milliseconds kWorkerTimeout{1'000};
+constexpr milliseconds kInstanceListTimeout{1'000};
 constexpr std::size_t kAdminRing = 64;
 // Batches of records wait here; a follower that is faster than the decision duty waits for it.
 constexpr std::size_t kDecisionRing = 256;
 // Calls that wait for the log hold a handler thread.
 constexpr std::size_t kRpcThreads = 8;
+// The decision duty and the task driver.
+constexpr int kDrainedDuties = 2;
 
 DecisionOptions DecisionOptionsOf(const settings::SchedulerSettings& settings,
                                   const std::string& process) {
@@ -39,6 +51,20 @@
   return options;
 }
 
+DriverOptions DriverOptionsOf(const settings::SchedulerSettings& settings,
+                              const std::string& process) {
+  DriverOptions options;
+  options.instance = settings.common.instance;
+  options.process = process;
+  options.max_view_age = milliseconds(settings.common.max_view_age_ms);
+  options.max_renew_view_age = milliseconds(settings.max_renew_view_age_ms);
+  options.rank_delay = milliseconds(settings.rank_delay_ms);
+  options.lease = Duration(settings.lease_ms);
+  options.renew_interval = milliseconds(settings.renew_interval_ms);
+  options.reserve_ttl = Duration(settings.reserve_timeout_ms);
+  return options;
+}
+
 }  // namespace
 
 class Scheduler::Impl {
@@ -55,10 +81,22 @@
         follower_(
             read_log_, {},
             [this](platform::FollowedBatch batch) { return decisions_.Push(std::move(batch)); }),
-        rpc_(decisions_, kOperatorTimeout, metrics_) {}
+        rpc_(decisions_, kOperatorTimeout, metrics_),
+        instance_list_("list", settings.common.instance_list, kInstanceListTimeout),
+        list_duty_(
+            instance_list_, milliseconds(settings.common.instance_list_interval_ms),
+            [this](std::shared_ptr<const platform::InstanceList> it) {
+              return decisions_.TryPush(std::move(it));
+            },
+            metrics_),
+        workers_("workers", kWorkerTimeout, [this](platform::WorkerResult it) {
+          // May wait for the task driver, which never waits for the I/O thread.
+          (void)driver_.Push(std::move(it));
+        }) {}
 
   ~Impl() {
     follower_.Stop();
+    list_duty_.Stop();
     decisions_.Close();
     appends_.Close();
     driver_.Close();
@@ -75,8 +113,13 @@
   bool Drain(milliseconds timeout) {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     (void)decisions_.Push(StartDraining{});
-    const auto left = deadline - std::chrono::steady_clock::now();
-    return drained_.PopFor(left).has_value();
+    (void)driver_.Push(StartDraining{});
+    for (int n = 0; n < kDrainedDuties; ++n) {
+      if (!drained_.PopFor(deadline - std::chrono::steady_clock::now())) {
+        return false;
+      }
+    }
+    return true;
   }
 
   std::uint16_t rpc_port() const { return rpc_server_->port(); }
@@ -118,11 +161,16 @@
       AppendDuty<HttpLogClient>(append_log_, {}, drop, metrics_).Run(appends_);
     });
     threads_.emplace_back("decision", [this] {
-      DecisionDuty<FirstFitPlacer>(DecisionOptionsOf(settings_, process_),
-                                   DecisionEngine<FirstFitPlacer>(FirstFitPlacer()),
-                                   {appends_, driver_, admin_, drained_, metrics_})
+      DecisionDuty<CellPlacer>(DecisionOptionsOf(settings_, process_), DefaultDecisionEngine(),
+                               {appends_, driver_, admin_, drained_, metrics_})
           .Run(decisions_);
     });
+    threads_.emplace_back("driver", [this] {
+      TaskDriver<HttpWorkerChannel>(DriverOptionsOf(settings_, process_), workers_,
+                                    {appends_, drained_, metrics_})
+          .Run(driver_);
+    });
+    threads_.emplace_back("instance-list", [this] { list_duty_.Run(); });
     threads_.emplace_back("follower", [this] { follower_.Run(); });
   }
 
@@ -138,6 +186,9 @@
   HttpLogClient append_log_;
   platform::LogFollower<HttpLogClient> follower_;
   RpcDuty rpc_;
+  InstanceListClient instance_list_;
+  InstanceListDuty<InstanceListClient> list_duty_;
+  HttpWorkerChannel workers_;
   std::unique_ptr<net::HttpServer> admin_server_;
   std::unique_ptr<rpc::RpcServer> rpc_server_;
   // Last, so that all are joined before anything that they use is destroyed.
