Answer config.plan and confirm plans by their id

Cause: operators have to see what an intent leads to before anything takes effect. Ruled out: keeping plans in the log (they are only a view of one state and may be made again anywhere); confirming without comparing (the plan may have other effects by then). Before: config.confirm with edits and a base revision only. After: config.plan and config.confirm {plan_id}; job.explain uses the explanation of the plan module. tests/scheduler shows that a plan appends nothing, takes effect once, and is refused with revision_conflict after that. Conclusion: a plan is known to the scheduler that made it; others refuse its id as not run.

--- a/src/scheduler/decision_duty.h
+++ b/src/scheduler/decision_duty.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "clementineloom/decision/decision_engine.h"
+#include "clementineloom/decision/plan_confirm.h"
 #include "clementineloom/errors/result_code_table.h"
 #include "scheduler/attempt_publisher.h"
 #include "scheduler/decision_event.h"
@@ -19,6 +20,7 @@
 #include "scheduler/make_attempt.h"
 #include "scheduler/operator/operator_views.h"
 #include "scheduler/pending_operations.h"
+#include "scheduler/plan_store.h"
 #include "scheduler/proposal_pacer.h"
 #include "scheduler/record_id_source.h"
 #include "scheduler/snapshot_schedule.h"
@@ -216,6 +218,38 @@
     Operate(call, ConfigChanged{request.base_revision, request.edits, request.author});
   }
 
+  void Serve(const ConfigPlan& request, const OperatorCall& call, const TimePair& now) {
+    AnswerIfServing(call, [&] {
+      return AnswerOf([&]() -> Result<PlanView> {
+        BOOST_LEAF_AUTO(plan, MakePlan(replica_.state(), request.edits, engine_, now.wall));
+        std::string id = plans_.Add(plan, request.author);
+        return PlanView{std::move(id), std::move(plan)};
+      });
+    });
+  }
+
+  void Serve(const PlanConfirmRequest& request, const OperatorCall& call, const TimePair& now) {
+    const PlanStore::Entry* shown = plans_.Find(request.plan_id);
+    if (shown == nullptr) {
+      Answer(call, Refusal{ResultCode::kUnknownReference, RunState::kDidNotRun,
+                           "plan " + request.plan_id + " is not known at " + options_.instance});
+      return;
+    }
+    const PlanConfirmation confirmation =
+        ConfirmPlan(replica_.state(), shown->plan, engine_, now.wall, shown->author);
+    if (!confirmation.is_accepted()) {
+      Answer(call, Refusal{confirmation.code(), RunState::kDidNotRun, DetailOf(confirmation)});
+      return;
+    }
+    Operate(call, *confirmation.record());
+  }
+
+  [[nodiscard]] std::string DetailOf(const PlanConfirmation& confirmation) const {
+    return "revision " + std::to_string(replica_.state().config_revision().value()) +
+           " is in force; the steps of " + std::to_string(confirmation.difference().steps.size()) +
+           " jobs differ from the plan";
+  }
+
   void Serve(const JobSubmit& request, const OperatorCall& call, const TimePair& now) {
     if (const auto known = replica_.state().FindJobByKey(request.key)) {
       const bool is_same = *replica_.state().FindJob(*known)->spec == request.spec;
@@ -390,6 +424,7 @@
   SnapshotSchedule snapshots_;
   RecordIdSource record_ids_;
   PendingOperations pending_;
+  PlanStore plans_;
 
   std::shared_ptr<const platform::InstanceList> list_;
   std::shared_ptr<const MembershipView> membership_;
--- a/src/scheduler/operator/operator_answer.h
+++ b/src/scheduler/operator/operator_answer.h
@@ -10,6 +10,7 @@
 #include "scheduler/operator/explanation.h"
 #include "scheduler/operator/freshness_view.h"
 #include "scheduler/operator/job_view.h"
+#include "scheduler/operator/plan_view.h"
 #include "scheduler/operator/status_view.h"
 #include "scheduler/operator/submitted_job.h"
 #include "scheduler/operator/worker_view.h"
@@ -20,6 +21,6 @@
 using OperatorAnswer =
     std::variant<Refusal, ConfigView, ConfirmedRevision, SubmittedJob, CancelledJobs, JobView,
                  std::vector<JobView>, std::vector<WorkerView>, Explanation, StatusView,
-                 FreshnessView>;
+                 FreshnessView, PlanView>;
 
 }  // namespace clementineloom::scheduler
--- a/src/scheduler/operator/operator_json.cc
+++ b/src/scheduler/operator/operator_json.cc
@@ -9,6 +9,7 @@
 #include "codec/detail/config_edit_json.h"
 #include "codec/detail/enum_names.h"
 #include "codec/detail/model_json.h"
+#include "scheduler/operator/plan_text.h"
 
 namespace clementineloom::scheduler {
 namespace {
@@ -17,19 +18,35 @@
 using codec::detail::JsonReader;
 using codec::detail::NameOf;
 
-Result<OperatorRequest> ReadConfirm(const JsonReader& params) {
-  BOOST_LEAF_AUTO(edits, params.Array("edits"));
-  BOOST_LEAF_AUTO(base_revision, params.Number<std::uint64_t>("base_revision"));
-  BOOST_LEAF_AUTO(author, params.String("author"));
-  ConfigConfirm request{{}, ConfigRevision(base_revision), std::move(author)};
-  for (const json::value& it : *edits) {
+Result<std::vector<ConfigEdit>> ReadEdits(const JsonReader& params) {
+  BOOST_LEAF_AUTO(array, params.Array("edits"));
+  std::vector<ConfigEdit> edits;
+  for (const json::value& it : *array) {
     BOOST_LEAF_AUTO(edit, codec::detail::ReadConfigEdit(it));
-    request.edits.push_back(std::move(edit));
+    edits.push_back(std::move(edit));
   }
-  if (request.edits.empty()) {
+  if (edits.empty()) {
     return Refuse(ResultCode::kInvalidValue, "edits: none given");
   }
-  return OperatorRequest(std::move(request));
+  return edits;
+}
+
+Result<OperatorRequest> ReadPlan(const JsonReader& params) {
+  BOOST_LEAF_AUTO(edits, ReadEdits(params));
+  BOOST_LEAF_AUTO(author, params.String("author"));
+  return OperatorRequest(ConfigPlan{std::move(edits), std::move(author)});
+}
+
+Result<OperatorRequest> ReadConfirm(const JsonReader& params) {
+  if (params.Has("plan_id")) {
+    BOOST_LEAF_AUTO(plan_id, params.String("plan_id"));
+    return OperatorRequest(PlanConfirmRequest{std::move(plan_id)});
+  }
+  BOOST_LEAF_AUTO(edits, ReadEdits(params));
+  BOOST_LEAF_AUTO(base_revision, params.Number<std::uint64_t>("base_revision"));
+  BOOST_LEAF_AUTO(author, params.String("author"));
+  return OperatorRequest(
+      ConfigConfirm{std::move(edits), ConfigRevision(base_revision), std::move(author)});
 }
 
 Result<OperatorRequest> ReadSubmit(const JsonReader& params) {
@@ -73,6 +90,7 @@
 
 constexpr std::array kMethods{
     Method{"config.get", ReadNothing<ConfigGet>},
+    Method{"config.plan", ReadPlan},
     Method{"config.confirm", ReadConfirm},
     Method{"job.submit", ReadSubmit},
     Method{"job.get", ReadJob<JobGet>},
@@ -173,6 +191,51 @@
           {"peers", std::move(peers)}};
 }
 
+json::object ToJson(const PlanStep& step) {
+  json::object object{{"job", step.job.value()},
+                      {"team", step.team},
+                      {"workers", json::array(step.workers.begin(), step.workers.end())},
+                      {"kind", NameOf(step.kind)},
+                      {"reason", step.reason}};
+  if (step.expected_completion) {
+    object.emplace("expected_completion_ms", step.expected_completion->time_since_epoch().count());
+  }
+  return object;
+}
+
+json::array StepsOf(const Plan& plan, PlanAction action) {
+  json::array array;
+  for (const PlanStep& it : plan.steps()) {
+    if (it.action == action) {
+      array.push_back(ToJson(it));
+    }
+  }
+  return array;
+}
+
+json::object ToJson(const GuaranteeRisk& risk) {
+  return {{"team", risk.team},
+          {"guarantee_index", risk.guarantee_index},
+          {"shape", codec::detail::ToJson(risk.shape)},
+          {"shapes", risk.shapes}};
+}
+
+json::object ToJson(const PlanView& view) {
+  json::array risks;
+  for (const GuaranteeRisk& it : view.plan.risks()) {
+    risks.push_back(ToJson(it));
+  }
+  return {{"plan_id", view.plan_id},
+          {"base_revision", view.plan.base_revision().value()},
+          {"starts", StepsOf(view.plan, PlanAction::kStart)},
+          {"moves", StepsOf(view.plan, PlanAction::kMove)},
+          {"waits", StepsOf(view.plan, PlanAction::kWait)},
+          {"refused", StepsOf(view.plan, PlanAction::kRefuse)},
+          {"risks", std::move(risks)},
+          {"complete", view.plan.is_complete()},
+          {"text", PlanText(view.plan)}};
+}
+
 template <class View>
 json::array ToJson(const std::vector<View>& views) {
   json::array array;
--- a/src/scheduler/operator/operator_views.cc
+++ b/src/scheduler/operator/operator_views.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "clementineloom/decision/plan_explain.h"
 #include "codec/detail/enum_names.h"
 
 namespace clementineloom::scheduler {
@@ -28,27 +29,6 @@
           .workers = std::move(workers)};
 }
 
-// Workers that could take one task of the shape now.
-std::size_t FreeWorkers(const ClusterState& state, const GangShape& shape) {
-  std::size_t n = 0;
-  for (std::size_t it = 0; it < state.workers().size(); ++it) {
-    const WorkerId id(static_cast<WorkerId::rep>(it));
-    const bool has_room = state.worker(id).free_accelerators >= shape.accelerators_per_worker();
-    n += has_room && state.IsPlaceable(id) ? 1 : 0;
-  }
-  return n;
-}
-
-std::string ExplainWaiting(const ClusterState& state, JobId id, const JobEntry& job) {
-  const GangShape& shape = job.spec->shape();
-  const auto before = std::distance(state.waiting_jobs().begin(), state.waiting_jobs().find(id));
-  return "waits for " + std::to_string(shape.workers()) + " workers with " +
-         std::to_string(shape.accelerators_per_worker()) + " free accelerators each, adjacent by " +
-         std::string(NameOf(shape.adjacency())) + "; " + std::to_string(FreeWorkers(state, shape)) +
-         " such workers are free in all, " + std::to_string(before) + " waiting jobs are older, " +
-         std::to_string(job.failures) + " attempts failed";
-}
-
 }  // namespace
 
 ConfigView ConfigViewOf(const ClusterState& state) {
@@ -104,7 +84,7 @@
     return Refuse(ResultCode::kUnknownJob, "job " + std::to_string(job.value()));
   }
   if (entry->phase == JobPhase::kWaiting) {
-    return Explanation{ExplainWaiting(state, job, *entry)};
+    return Explanation{clementineloom::Explain(state, job).sentence};
   }
   std::string text(NameOf(entry->phase));
   if (entry->phase == JobPhase::kEnded) {
--- /dev/null
+++ b/src/scheduler/operator/plan_view.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include "clementineloom/decision/plan.h"
+
+namespace clementineloom::scheduler {
+
+/// @brief Answer to ConfigPlan. An immutable value.
+struct PlanView {
+  /// By which it is confirmed at the scheduler that made it.
+  std::string plan_id;
+  Plan plan;
+
+  friend auto operator<=>(const PlanView&, const PlanView&) = default;
+};
+
+}  // namespace clementineloom::scheduler
--- a/src/scheduler/pending_operations.cc
+++ b/src/scheduler/pending_operations.cc
@@ -6,8 +6,7 @@
 namespace clementineloom::scheduler {
 namespace {
 
-OperatorAnswer AnswerOf(const ClusterState& state, const ConfigConfirm&,
-                        const ApplyOutcome& outcome) {
+OperatorAnswer AnswerOfConfirmation(const ClusterState& state, const ApplyOutcome& outcome) {
   if (outcome.accepted()) {
     return ConfirmedRevision{state.config_revision()};
   }
@@ -15,6 +14,16 @@
                  "revision " + std::to_string(state.config_revision().value()) + " is in force"};
 }
 
+OperatorAnswer AnswerOf(const ClusterState& state, const ConfigConfirm&,
+                        const ApplyOutcome& outcome) {
+  return AnswerOfConfirmation(state, outcome);
+}
+
+OperatorAnswer AnswerOf(const ClusterState& state, const PlanConfirmRequest&,
+                        const ApplyOutcome& outcome) {
+  return AnswerOfConfirmation(state, outcome);
+}
+
 OperatorAnswer AnswerOf(const ClusterState& state, const JobSubmit& request,
                         const ApplyOutcome& outcome) {
   if (outcome.accepted()) {
--- a/src/scheduler/rpc_duty.cc
+++ b/src/scheduler/rpc_duty.cc
@@ -14,8 +14,8 @@
 }  // namespace
 
 std::vector<std::string> RpcDuty::Methods() {
-  return {"config.get", "config.confirm", "job.submit",  "job.get",    "job.list",
-          "job.cancel", "job.explain",    "worker.list", "status.get", "peer.view"};
+  return {"config.get", "config.plan", "config.confirm", "job.submit", "job.get",  "job.list",
+          "job.cancel", "job.explain", "worker.list",    "status.get", "peer.view"};
 }
 
 Result<boost::json::value> RpcDuty::Handle(const rpc::RpcCall& call) const {
--- a/tests/scheduler/decision_duty_test.cc
+++ b/tests/scheduler/decision_duty_test.cc
@@ -216,6 +216,24 @@
   EXPECT_EQ(RefusalCodeOf(second), ResultCode::kRevisionConflict);
 }
 
+// Guards against a plan that takes effect before it is confirmed, or one that is confirmed although
+// the configuration has changed since.
+TEST_F(DecisionDutyTest, Plan_WhenConfirmedTwice_TakesEffectOnce) {
+  AddCluster(1);
+  replica_.Read();
+  const ConfigPlan request{{SetDataCentre{testing_support::MakeDataCentre(false)}}, "operator"};
+  const auto plan_reply = replica_.Ask(request)->TryPop();
+  ASSERT_TRUE(plan_reply && std::holds_alternative<PlanView>(*plan_reply));
+  const std::string id = std::get<PlanView>(*plan_reply).plan_id;
+  EXPECT_EQ(log_.appends(), 0U);
+  const auto first = replica_.Ask(PlanConfirmRequest{id});
+  replica_.Append();
+  replica_.Read();
+  EXPECT_EQ(AnswerOf<ConfirmedRevision>(first).revision, ConfigRevision(2));
+  EXPECT_EQ(RefusalCodeOf(replica_.Ask(PlanConfirmRequest{id})), ResultCode::kRevisionConflict);
+  EXPECT_EQ(RefusalCodeOf(replica_.Ask(PlanConfirmRequest{"9"})), ResultCode::kUnknownReference);
+}
+
 // Guards against an answer before the record was read back, or none when the answer is lost.
 TEST_F(DecisionDutyTest, Submit_WhenAppendAnswerIsLost_AnswersFromTheStream) {
   AddCluster(1);
