Take over the freshness of the view from peers

Cause: a scheduler whose own path to the log is cut starts nothing after 2 s, although its peers may know that nothing was appended. Ruled out: taking a peer's word for a tail that this scheduler has not read to. Before: peer.view is answered and nobody asks. After: a duty asks the others once the view is older than 1 s; tests/scheduler shows that answers beyond the records read are not taken over. Conclusion: records themselves still come only from the log.

--- a/src/scheduler/decision_duty.h
+++ b/src/scheduler/decision_duty.h
@@ -390,8 +390,10 @@
   void PublishFreshness() {
     // A driver that misses one works with an older view, which is safe.
     (void)outputs_.driver.TryPush(replica_.freshness());
+    (void)outputs_.peers.TryPush(replica_.freshness());
     if (!is_membership_told_) {
-      is_membership_told_ = outputs_.driver.TryPush(membership_);
+      const bool is_peer_told = outputs_.peers.TryPush(membership_);
+      is_membership_told_ = outputs_.driver.TryPush(membership_) && is_peer_told;
     }
   }
 
--- a/src/scheduler/decision_outputs.h
+++ b/src/scheduler/decision_outputs.h
@@ -6,6 +6,7 @@
 #include "scheduler/append_event.h"
 #include "scheduler/drained.h"
 #include "scheduler/driver_event.h"
+#include "scheduler/peer_event.h"
 
 namespace clementineloom::scheduler {
 
@@ -14,6 +15,7 @@
   BoundedRing<AppendEvent>& append;
   BoundedRing<DriverEvent>& driver;
   BoundedRing<AdminEvent>& admin;
+  BoundedRing<PeerEvent>& peers;
   BoundedRing<Drained>& drained;
   metrics::MetricRegistry& metrics;
 };
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -15,7 +15,9 @@
 #include "scheduler/append_duty.h"
 #include "scheduler/decision_duty.h"
 #include "scheduler/instance_list_duty.h"
+#include "scheduler/peer_duty.h"
 #include "scheduler/rpc_duty.h"
+#include "scheduler/rpc_peer_source.h"
 #include "scheduler/task_driver.h"
 
 namespace clementineloom::scheduler {
@@ -32,7 +34,9 @@
 // deadline.
 constexpr milliseconds kWorkerTimeout{1'000};
 constexpr milliseconds kInstanceListTimeout{1'000};
+constexpr milliseconds kPeerTimeout{300};
 constexpr std::size_t kAdminRing = 64;
+constexpr std::size_t kPeerRing = 64;
 // Batches of records wait here; a follower that is faster than the decision duty waits for it.
 constexpr std::size_t kDecisionRing = 256;
 // Calls that wait for the log hold a handler thread.
@@ -76,6 +80,7 @@
         appends_(settings.ring_capacity),
         driver_(settings.ring_capacity),
         admin_(kAdminRing),
+        peers_(kPeerRing),
         read_log_("log-read", settings.common.log_service),
         append_log_("log-append", settings.common.log_service),
         follower_(
@@ -101,6 +106,7 @@
     appends_.Close();
     driver_.Close();
     admin_.Close();
+    peers_.Close();
   }
 
   Result<void> Start() {
@@ -162,7 +168,7 @@
     });
     threads_.emplace_back("decision", [this] {
       DecisionDuty<CellPlacer>(DecisionOptionsOf(settings_, process_), DefaultDecisionEngine(),
-                               {appends_, driver_, admin_, drained_, metrics_})
+                               {appends_, driver_, admin_, peers_, drained_, metrics_})
           .Run(decisions_);
     });
     threads_.emplace_back("driver", [this] {
@@ -170,6 +176,11 @@
                                     {appends_, drained_, metrics_})
           .Run(driver_);
     });
+    threads_.emplace_back("peers", [this] {
+      RpcPeerSource source(kPeerTimeout);
+      const auto sink = [this](PeerFreshness it) { return decisions_.TryPush(it); };
+      PeerDuty<RpcPeerSource>(settings_.common.instance, source, sink, metrics_).Run(peers_);
+    });
     threads_.emplace_back("instance-list", [this] { list_duty_.Run(); });
     threads_.emplace_back("follower", [this] { follower_.Run(); });
   }
@@ -181,6 +192,7 @@
   BoundedRing<AppendEvent> appends_;
   BoundedRing<DriverEvent> driver_;
   BoundedRing<AdminEvent> admin_;
+  BoundedRing<PeerEvent> peers_;
   BoundedRing<Drained> drained_{4};
   HttpLogClient read_log_;
   HttpLogClient append_log_;
--- a/tests/scheduler/decision_duty_test.cc
+++ b/tests/scheduler/decision_duty_test.cc
@@ -35,7 +35,7 @@
             log, {}, [this](ProposalDropped it) { decision_.Handle(std::move(it), Now()); },
             metrics_),
         decision_(OptionsOf(instance), DecisionEngine<FirstFitPlacer>(FirstFitPlacer()),
-                  {appends_, driver_, admin_, drained_, metrics_}) {}
+                  {appends_, driver_, admin_, peers_, drained_, metrics_}) {}
 
   static TimePair Now() { return {ManualClock::now(), Instant(Duration(0))}; }
 
@@ -83,6 +83,7 @@
   BoundedRing<AppendEvent> appends_{4'096};
   BoundedRing<DriverEvent> driver_{4'096};
   BoundedRing<AdminEvent> admin_{4'096};
+  BoundedRing<PeerEvent> peers_{4'096};
   BoundedRing<Drained> drained_{4};
   platform::LogFollower<MemoryLog> follower_;
   AppendDuty<MemoryLog, ManualClock> append_;
@@ -325,6 +326,23 @@
   EXPECT_EQ(replica_.state().config_revision(), ConfigRevision(2));
 }
 
+// Guards against a peer's word that makes a view count as new although it lacks records.
+TEST_F(DecisionDutyTest, PeerFreshness_BeyondTheRecordsRead_IsNotTakenOver) {
+  AddCluster(1);
+  Add(testing_support::Submit("key", 1));
+  replica_.Read();
+  Pass(milliseconds(2'001));
+  const LogOffset tail = replica_.freshness().tail;
+  replica_.Give(PeerFreshness{LogOffset(tail.value() + 1), ManualClock::now()});
+  replica_.Decide();
+  replica_.Append();
+  EXPECT_EQ(log_.appends(), 0U);
+  replica_.Give(PeerFreshness{tail, ManualClock::now()});
+  replica_.Decide();
+  replica_.Append();
+  EXPECT_EQ(log_.appends(), 1U);
+}
+
 // Guards against a worker that is declared lost because of a list that lags.
 TEST_F(DecisionDutyTest, InstanceList_ThatLags_LosesNoWorker) {
   AddCluster(2);
