Link the gateway with the log lines

Cause: the daemon's duties write log lines; the module did not link them.

Ruled out: a callback for events; the library of log lines is small.

Result: loom-gateway links.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -41,7 +41,7 @@
 # The client half of libjsonrpccpp 0.7.0 has dynamic exception specifications, which C++17 removed.
 set_source_files_properties(src/rpc/detail/json_rpc_encoder.cc PROPERTIES COMPILE_OPTIONS "-std=c++14;-Wno-deprecated;-Wno-deprecated-declarations")
 set_source_files_properties(src/rpc/detail/json_rpc_dispatcher.cc PROPERTIES COMPILE_OPTIONS "-Wno-deprecated-declarations")
-add_module(gateway loom_platform loom_rpc loom_settings loom_metrics)
+add_module(gateway loom_platform loom_rpc loom_settings loom_metrics loom_logging)
 add_module(scheduler loom_platform loom_rpc loom_settings loom_metrics)
 add_module(ctl loom_platform loom_rpc loom_settings)
 
