Run the gateway as a daemon with claims, health and jobs

Cause: the duties existed but nothing started them, and a repeated request with an idempotency key ran again.

Ruled out: serving on a stale view, because a data centre may have been taken out meanwhile; instead the scheduler of the instance is asked how far the stream reaches.

A client call without an id accepts an id in its answer, because the gateway gives one.

--- a/src/gateway/control_follower_duty.h
+++ b/src/gateway/control_follower_duty.h
@@ -14,6 +14,7 @@
 #include "codec/record_codec.h"
 #include "gateway/daemon_health.h"
 #include "gateway/metric_names.h"
+#include "gateway/published_offset.h"
 #include "gateway/routing_event.h"
 #include "gateway/stream_follower.h"
 #include "gateway/streams.h"
@@ -30,10 +31,11 @@
 class ControlFollowerDuty {
  public:
   /// Precondition: the references outlive the duty.
-  ControlFollowerDuty(Client& log, BoundedRing<RoutingEvent>& routing, DaemonHealth& health,
-                      metrics::MetricRegistry& metrics, StopSignal& stop)
+  ControlFollowerDuty(Client& log, BoundedRing<RoutingEvent>& routing, PublishedOffset& published,
+                      DaemonHealth& health, metrics::MetricRegistry& metrics, StopSignal& stop)
       : follower_(log, std::string(kControlStream)),
         routing_(routing),
+        published_(published),
         health_(health),
         metrics_(metrics),
         stop_(stop) {}
@@ -99,6 +101,7 @@
     } else {
       (void)routing_.Push(ViewConfirmed{fresh_at});
     }
+    published_.Set(LogOffset(follower_.next().value() - 1));
     health_.is_control_caught_up = true;
   }
 
@@ -110,6 +113,7 @@
 
   StreamFollower<Client> follower_;
   BoundedRing<RoutingEvent>& routing_;
+  PublishedOffset& published_;
   DaemonHealth& health_;
   metrics::MetricRegistry& metrics_;
   StopSignal& stop_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,12 +19,14 @@
   explicit Impl(const GatewayOptions& options)
       : events_(options.event_ring),
         claims_(options.event_ring),
+        jobs_(options.jobs_ring),
         upstreams_("upstream-io", options.client, [this](net::ClientResult result) {
           // May wait for the routing duty, which never waits for the upstream I/O thread.
           (void)events_.Push(std::move(result));
         }) {}
 
   ~Impl() {
+    jobs_.Close();
     claims_.Close();
     events_.Close();
   }
@@ -41,6 +43,7 @@
 
   BoundedRing<RoutingEvent>& events() { return events_; }
   BoundedRing<ClaimsEvent>& claims() { return claims_; }
+  BoundedRing<CallerRequest>& jobs() { return jobs_; }
   net::HttpServer& callers() { return *callers_; }
   metrics::MetricRegistry& metrics() { return metrics_; }
 
@@ -48,7 +51,8 @@
   void Route(const GatewayOptions& options) {
     using Chooser = PowerOfTwoChooser<std::mt19937_64>;
     RoutingDuty<Chooser>(events_, Responder(*callers_, metrics_), upstreams_,
-                         ClaimsPort(options.uses_claims ? &claims_ : nullptr, metrics_), metrics_,
+                         ClaimsPort(options.uses_claims ? &claims_ : nullptr, metrics_),
+                         JobsPort(options.uses_scheduler ? &jobs_ : nullptr), metrics_,
                          options.routing, Chooser(std::mt19937_64(options.seed)))
         .Run();
   }
@@ -56,6 +60,7 @@
   metrics::MetricRegistry metrics_;
   BoundedRing<RoutingEvent> events_;
   BoundedRing<ClaimsEvent> claims_;
+  BoundedRing<CallerRequest> jobs_;
   net::HttpClient upstreams_;
   std::unique_ptr<net::HttpServer> callers_;
   // Last, so that it is joined before anything that it uses is destroyed.
@@ -87,6 +92,8 @@
 
 BoundedRing<ClaimsEvent>& Gateway::claims_events() { return impl_->claims(); }
 
+BoundedRing<CallerRequest>& Gateway::job_requests() { return impl_->jobs(); }
+
 metrics::MetricRegistry& Gateway::metrics() { return impl_->metrics(); }
 
 Responder Gateway::responder() { return Responder(impl_->callers(), impl_->metrics()); }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,10 @@
   /// end before the gateway does. Without GatewayOptions::uses_claims it stays empty.
   [[nodiscard]] BoundedRing<ClaimsEvent>& claims_events();
 
+  /// @brief The ring into the jobs duties, which the owner starts and ends likewise. Without
+  /// GatewayOptions::uses_scheduler it stays empty.
+  [[nodiscard]] BoundedRing<CallerRequest>& job_requests();
+
   [[nodiscard]] metrics::MetricRegistry& metrics();
   [[nodiscard]] Responder responder();
 
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -17,6 +17,9 @@
   std::size_t event_ring = 4096;
   /// Whether requests with an idempotency key go through a claims duty.
   bool uses_claims = false;
+  /// Whether requests about jobs go through jobs duties.
+  bool uses_scheduler = false;
+  std::size_t jobs_ring = 256;
   /// Seed of the choice between upstreams.
   std::uint64_t seed = 1;
 
--- /dev/null
+++ b/src/gateway/jobs_duty.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "gateway/caller_request.h"
+#include "gateway/responder.h"
+#include "rpc/rpc_client.h"
+
+namespace clementineloom::gateway {
+
+/// @brief Sends requests about jobs on to the scheduler of the instance and answers them.
+///
+/// Several duties may share a ring, each with its own connection. Nothing is repeated: an answer
+/// says whether the call did not run or may have run.
+/// Thread safety: Run is called on the duty's thread; requests reach it through the ring.
+class JobsDuty {
+ public:
+  /// @param process first part of the keys of submissions that have none
+  /// Precondition: the ring outlives the duty.
+  JobsDuty(BoundedRing<CallerRequest>& requests, Responder responder, std::string scheduler,
+           std::string process, std::chrono::milliseconds timeout)
+      : requests_(requests),
+        responder_(responder),
+        scheduler_(std::move(scheduler)),
+        process_(std::move(process)),
+        timeout_(timeout) {}
+
+  /// @brief Answers until the ring is closed and drained.
+  void Run();
+
+ private:
+  [[nodiscard]] Result<net::HttpResponse> Answer(const CallerRequest& request);
+
+  BoundedRing<CallerRequest>& requests_;
+  Responder responder_;
+  rpc::RpcClient scheduler_;
+  const std::string process_;
+  const std::chrono::milliseconds timeout_;
+};
+
+}  // namespace clementineloom::gateway
--- /dev/null
+++ b/src/gateway/main.cc
@@ -0,0 +1,91 @@
+#include <malloc.h>
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include "clementineloom/errors/result_code_table.h"
+#include "gateway/gateway_daemon.h"
+#include "logging/event_log.h"
+#include "settings/load_settings.h"
+
+namespace {
+
+using clementineloom::CatchRefusal;
+using clementineloom::Refusal;
+using clementineloom::Result;
+using clementineloom::ResultCodeName;
+using clementineloom::gateway::GatewayDaemon;
+using clementineloom::logging::ConfigureLog;
+using clementineloom::logging::LogEvent;
+using clementineloom::logging::LogLevel;
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+// The C library's default of eight arenas a core would alone exceed the daemon's 32 MB.
+constexpr int kArenas = 2;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+void WaitForStopSignal() {
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+Result<int> Serve(const std::string& file) {
+  BOOST_LEAF_AUTO(settings, clementineloom::settings::LoadGatewaySettings(file));
+  BOOST_LEAF_CHECK(ConfigureLog(settings.common.log_level, settings.common.log_file));
+  BOOST_LEAF_AUTO(daemon, GatewayDaemon::Start(settings));
+  std::cout << "listening port=" << daemon->port() << " admin=" << daemon->admin_port()
+            << std::endl;
+  LogEvent(LogLevel::kInfo, "started",
+           {{"instance", settings.common.instance}, {"port", daemon->port()}});
+  WaitForStopSignal();
+  LogEvent(LogLevel::kInfo, "draining", {});
+  if (!daemon->Drain()) {
+    LogEvent(LogLevel::kError, "drain_timed_out",
+             {{"drain_timeout_ms", settings.common.drain_timeout_ms}});
+  }
+  LogEvent(LogLevel::kInfo, "stopped", {});
+  return 0;
+}
+
+int Run(const std::string& file) {
+  return CatchRefusal([&] { return Serve(file); },
+                      [](const Refusal& refusal) {
+                        std::cerr << ResultCodeName(refusal.code) << ": " << refusal.detail << "\n";
+                        return kExitFailed;
+                      });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  mallopt(M_ARENA_MAX, kArenas);
+  // Blocked before any thread starts, so that only the main thread takes them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  cxxopts::Options options("loom-gateway", "Takes requests of callers to workers");
+  options.add_options()("settings", "file with the settings", cxxopts::value<std::string>())(
+      "help", "print this help");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    return Run(parsed["settings"].as<std::string>());
+  } catch (const std::exception& ex) {
+    std::cerr << ex.what() << "\n";
+    return kExitUsage;
+  }
+}
--- a/src/gateway/routing_duty.h
+++ b/src/gateway/routing_duty.h
@@ -22,6 +22,8 @@
 #include "clementineloom/routing/waiting_room.h"
 #include "gateway/attempt_refusal.h"
 #include "gateway/claims_port.h"
+#include "gateway/job_call.h"
+#include "gateway/jobs_port.h"
 #include "gateway/metric_names.h"
 #include "gateway/parse_caller_request.h"
 #include "gateway/responder.h"
@@ -40,12 +42,13 @@
  public:
   /// Precondition: the references outlive the duty.
   RoutingDuty(BoundedRing<RoutingEvent>& events, Responder responder, net::HttpClient& upstreams,
-              ClaimsPort claims, metrics::MetricRegistry& metrics, const RoutingOptions& options,
-              Chooser chooser)
+              ClaimsPort claims, JobsPort jobs, metrics::MetricRegistry& metrics,
+              const RoutingOptions& options, Chooser chooser)
       : events_(events),
         responder_(responder),
         upstreams_(upstreams),
         claims_(claims),
+        jobs_(jobs),
         metrics_(metrics),
         options_(options),
         chooser_(std::move(chooser)),
@@ -130,6 +133,10 @@
       responder_.Refuse(exchange, *refusal);
       return;
     }
+    if (IsJobTarget(parsed->request.target)) {
+      SendToScheduler(std::move(*parsed));
+      return;
+    }
     retries_.AddRequest();
     if (claims_.NeedsClaim(*parsed)) {
       Claim(std::move(*parsed));
@@ -138,6 +145,17 @@
     }
   }
 
+  void SendToScheduler(CallerRequest request) {
+    const net::ExchangeId exchange = request.exchange;
+    if (!jobs_.is_open()) {
+      responder_.Refuse(exchange, {ResultCode::kPeerUnavailable, RunState::kDidNotRun,
+                                   "no scheduler is configured"});
+    } else if (!jobs_.Take(std::move(request))) {
+      responder_.Refuse(exchange,
+                        {ResultCode::kQueueFull, RunState::kDidNotRun, "jobs ring is full"});
+    }
+  }
+
   void Handle(ClaimedRequest claimed) { Admit(std::move(claimed.request)); }
 
   void Claim(CallerRequest request) {
@@ -317,6 +335,7 @@
   Responder responder_;
   net::HttpClient& upstreams_;
   ClaimsPort claims_;
+  JobsPort jobs_;
   metrics::MetricRegistry& metrics_;
   const RoutingOptions options_;
   Chooser chooser_;
--- /dev/null
+++ b/src/gateway/scheduler_view_duty.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "clementineloom/concurrency/stop_signal.h"
+#include "gateway/daemon_health.h"
+#include "gateway/published_offset.h"
+#include "gateway/routing_event.h"
+#include "rpc/rpc_client.h"
+
+namespace clementineloom::gateway {
+
+/// @brief Asks the scheduler of the instance how new the view of the control stream is.
+///
+/// The scheduler also knows what its peers have read. If the tail that it knows is not beyond what
+/// this gateway has applied, the gateway's view was the newest at that time, so that requests go
+/// on while only this gateway cannot read the log.
+/// Thread safety: Run is called on the duty's thread.
+class SchedulerViewDuty {
+ public:
+  /// Precondition: the references outlive the duty.
+  SchedulerViewDuty(std::string scheduler, const PublishedOffset& published,
+                    BoundedRing<RoutingEvent>& routing, const DaemonHealth& health,
+                    StopSignal& stop)
+      : scheduler_(std::move(scheduler)),
+        published_(published),
+        routing_(routing),
+        health_(health),
+        stop_(stop) {}
+
+  /// @brief Asks until the stop signal.
+  void Run();
+
+ private:
+  void Ask();
+
+  rpc::RpcClient scheduler_;
+  const PublishedOffset& published_;
+  BoundedRing<RoutingEvent>& routing_;
+  const DaemonHealth& health_;
+  StopSignal& stop_;
+};
+
+}  // namespace clementineloom::gateway
--- a/src/gateway/stream_follower.h
+++ b/src/gateway/stream_follower.h
@@ -26,12 +26,15 @@
   /// Errors: kLogUnavailable, kRecordsExpired.
   [[nodiscard]] Result<FollowStep> Next() {
     const MonotonicTime read_at = std::chrono::steady_clock::now();
-    BOOST_LEAF_AUTO(batch, log_.Read(stream_, LogOffset(next_), kMaxRecords, kWait));
+    BOOST_LEAF_AUTO(batch, log_.Read(stream_, LogOffset(next_), kMaxRecords, wait_));
     FollowStep step{std::move(batch.records), false, read_at};
     if (!step.records.empty()) {
       next_ = step.records.back().offset.value() + 1;
     }
     step.is_at_tail = next_ > batch.tail.value();
+    if (step.is_at_tail) {
+      wait_ = kWait;
+    }
     return step;
   }
 
@@ -54,6 +57,8 @@
   Client& log_;
   std::string stream_;
   std::uint64_t next_ = 1;
+  // Does not wait until the tail was reached once, so that a start takes no longer than reading.
+  std::chrono::milliseconds wait_{0};
 };
 
 }  // namespace clementineloom::gateway
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -193,7 +193,8 @@
   static bool IsAnswerTo(const HttpRequest& request, const HttpResponse& response) {
     const std::string_view sent = request.headers.Find(kCorrelationHeader);
     const std::string_view echoed = response.headers.Find(kCorrelationHeader);
-    return echoed.empty() || echoed == sent;
+    // A server may give an id to a request that has none.
+    return sent.empty() || echoed.empty() || echoed == sent;
   }
 
   void KeepIdle(const std::string& address, ConnectionPtr connection) {
