Search for a packing only when what it depends on has changed

Cause: the benchmark checks the guarantees up to three times for each event, and most events (arrivals, ticks) change neither guaranteed work nor workers.

ReclaimCheck keeps the last inputs and result.

--- a/bench/support/run_observer.cc
+++ b/bench/support/run_observer.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "support/fragmentation.h"
-#include "support/reclaim_check.h"
 
 namespace clementineloom::bench {
 namespace {
@@ -24,11 +23,11 @@
 }  // namespace
 
 void RunObserver::AddEvent(const ClusterState& state) {
-  figures_.broken_by_event += Breaks(CheckReclaim(state, accounting_)) ? 1 : 0;
+  figures_.broken_by_event += Breaks(check_.Check(state)) ? 1 : 0;
 }
 
 void RunObserver::AddDecision(const ClusterState& state) {
-  figures_.broken_by_placement += Breaks(CheckReclaim(state, accounting_)) ? 1 : 0;
+  figures_.broken_by_placement += Breaks(check_.Check(state)) ? 1 : 0;
 }
 
 void RunObserver::AddState(const ClusterState& state, Instant now) {
--- a/bench/support/run_observer.h
+++ b/bench/support/run_observer.h
@@ -8,6 +8,7 @@
 #include "clementineloom/state/cluster_state.h"
 #include "support/guarantee_accounting.h"
 #include "support/packing_result.h"
+#include "support/reclaim_check.h"
 #include "support/run_figures.h"
 
 namespace clementineloom::bench {
@@ -15,7 +16,7 @@
 /// @brief Collects the figures of a run. Thread safety: none.
 class RunObserver {
  public:
-  explicit RunObserver(GuaranteeAccounting accounting) : accounting_(accounting) {}
+  explicit RunObserver(GuaranteeAccounting accounting) : check_(accounting) {}
 
   void AddCompletion(SizeClass size_class, Duration time) {
     times_[static_cast<std::size_t>(size_class)].push_back(time);
@@ -50,7 +51,7 @@
   bool Breaks(PackingResult result);
   [[nodiscard]] static Sample Measure(const ClusterState& state);
 
-  const GuaranteeAccounting accounting_;
+  ReclaimCheck check_;
   std::array<std::vector<Duration>, kSizeClasses> times_;
   Instant last_at_;
   Sample last_;
