--- a/src/codec/state_image_codec.cc
+++ b/src/codec/state_image_codec.cc
@@ -209,6 +209,7 @@
           {"guarantee_instance", job.guarantee_instance},
           {"attempt", job.attempt},
           {"failures", job.failures},
+          {"run_time_ms", job.run_time.count()},
           {"token", job.token.value()},
           {"allocations", ToJson(job.allocations)},
           {"failed_on", IdsToJson(job.failed_on)}};
@@ -227,6 +228,8 @@
   BOOST_LEAF_ASSIGN(job.guarantee_instance, json.Number<std::uint16_t>("guarantee_instance"));
   BOOST_LEAF_ASSIGN(job.attempt, json.Number<std::uint32_t>("attempt"));
   BOOST_LEAF_ASSIGN(job.failures, json.Number<std::uint32_t>("failures"));
+  BOOST_LEAF_AUTO(run_time, json.Signed("run_time_ms"));
+  job.run_time = Duration(run_time);
   BOOST_LEAF_AUTO(token, json.Number<std::uint64_t>("token"));
   job.token = FencingToken(token);
   BOOST_LEAF_ASSIGN(job.allocations, ReadAllocations(json));
--- a/src/state/restore.cc
+++ b/src/state/restore.cc
@@ -73,6 +73,9 @@
 }
 
 void ClusterState::RebuildIndexes() {
+  for (TeamEntry& it : teams_) {
+    it.held_accelerators = 0;
+  }
   for (std::size_t n = 0; n < teams_.size(); ++n) {
     if (!teams_[n].deleted) {
       team_names_.emplace(teams_[n].team.name(), TeamId(static_cast<TeamId::rep>(n)));
@@ -96,6 +99,7 @@
       waiting_jobs_.insert(id);
     } else if (job.phase != JobPhase::kEnded) {
       active_jobs_.insert(id);
+      teams_[job.team.value()].held_accelerators += job.spec->shape().total_accelerators();
     }
   }
 }
--- a/tests/decision/cluster_command.h
+++ b/tests/decision/cluster_command.h
@@ -45,6 +45,7 @@
   kRestartEngine,
   kForgeBorrowed,
   kSettle,
+  kRestore,
   kCount,
 };
 
--- a/tests/decision/cluster_driver.h
+++ b/tests/decision/cluster_driver.h
@@ -135,6 +135,9 @@
       case Kind::kSettle:
         Settle();
         break;
+      case Kind::kRestore:
+        state_ = ValueOrDie([this] { return ClusterState::Restore(state_.ToImage()); });
+        break;
       default:
         ExecuteClusterChange(it);
     }
--- a/tests/decision/state_invariants.h
+++ b/tests/decision/state_invariants.h
@@ -31,10 +31,24 @@
         return "a worker's accelerators do not add up";
       }
     }
+    for (std::uint32_t n = 0; n < state.teams().size(); ++n) {
+      if (state.teams()[n].held_accelerators != HeldBy(state, TeamId(n))) {
+        return "a team's accelerators do not add up";
+      }
+    }
     return std::nullopt;
   }
 
  private:
+  static std::uint32_t HeldBy(const ClusterState& state, TeamId team) {
+    std::uint32_t held = 0;
+    for (const JobId id : state.active_jobs()) {
+      const JobEntry& job = *state.FindJob(id);
+      held += job.team == team ? job.spec->shape().total_accelerators() : 0;
+    }
+    return held;
+  }
+
   static bool IsWholeGang(const ClusterState& state, const JobEntry& job) {
     const GangShape& shape = job.spec->shape();
     std::set<WorkerId> workers;
