Read fewer records at a time after an answer that was too large

A new instance was not serving after 60 s. Ruled out: a larger limit of the client (memory); a small limit for all reads (catching up with 100,000 records would take many more reads). Before: a fixed limit. After: it is halved after a read that failed and doubled after one that did not; tests/platform shows it.

--- a/src/platform/log_follower.h
+++ b/src/platform/log_follower.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -50,13 +52,17 @@
   bool Poll(MonotonicTime now) {
     std::optional<ReadBatch> batch;
     const auto refusal = RefusalOf([&]() -> Result<void> {
-      BOOST_LEAF_AUTO(read, client_.Read(options_.stream, next_, options_.read_limit, wait()));
+      BOOST_LEAF_AUTO(read, client_.Read(options_.stream, next_, limit_, wait()));
       batch.emplace(std::move(read));
       return {};
     });
     if (refusal) {
+      // An answer of many large records, such as the chunks of a snapshot, exceeds the limit of
+      // the client for one response.
+      limit_ = std::max<std::size_t>(limit_ / 2, 1);
       return refusal->code == ResultCode::kRecordsExpired && BeginSearch();
     }
+    limit_ = std::min(limit_ * 2, options_.read_limit);
     is_first_read_ = false;
     return is_searching_ ? Search(*batch, now) : Hand(*batch, now);
   }
@@ -149,6 +155,7 @@
   codec::SnapshotAssembler assembler_;
   // Nothing is ever pushed: closing it ends a pause.
   BoundedRing<bool> stop_{1};
+  std::size_t limit_ = options_.read_limit;
   LogOffset next_{1};
   LogOffset read_to_;
   bool is_first_read_ = true;
--- a/src/scheduler/append_duty.h
+++ b/src/scheduler/append_duty.h
@@ -21,6 +21,7 @@
 #include "scheduler/append_options.h"
 #include "scheduler/monotonic_clock.h"
 #include "scheduler/proposal_dropped.h"
+#include "scheduler/release_memory.h"
 
 namespace clementineloom::scheduler {
 
@@ -149,6 +150,9 @@
     if (!refusal) {
       metrics_.Count("loom_records_appended_total", {}, {}, payloads.size());
       queue.erase(queue.begin(), end);
+      if (&queue == &chunks_ && chunks_.empty()) {
+        ReleaseFreeMemory();
+      }
       return;
     }
     metrics_.Count("loom_append_failures_total", "reason", ResultCodeName(refusal->code));
--- a/tests/platform/log_follower_test.cc
+++ b/tests/platform/log_follower_test.cc
@@ -81,6 +81,20 @@
   EXPECT_TRUE(batches_.empty());
 }
 
+// Guards against a follower that asks for the same answer for ever although it is too large for
+// the client: 277 chunks of 64 KB in one read were.
+TEST_F(LogFollowerTest, Poll_WhenAnswersAreTooLarge_ReadsFewerRecordsAtATime) {
+  for (int n = 0; n < 10; ++n) {
+    Add(JobStarted{JobId(1), 1});
+  }
+  log_.SetMaxRead(3);
+  for (int n = 0; n < 100 && (batches_.empty() || !batches_.back().is_at_tail()); ++n) {
+    (void)Poll();
+  }
+  ASSERT_FALSE(batches_.empty());
+  EXPECT_EQ(batches_.back().read_to, LogOffset(10));
+}
+
 // Guards against a new instance that cannot start once the first records have expired.
 TEST_F(LogFollowerTest, Poll_WhenRecordsExpired_RestoresSnapshotAndGoesOnBehindIt) {
   AddCluster();
--- a/tests/support/memory_log.h
+++ b/tests/support/memory_log.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
   /// @brief The fault of all appends until it is changed.
   void SetAppendFault(Fault fault) { append_fault_ = fault; }
   void SetReadFault(bool is_down) { is_read_down_ = is_down; }
+  /// @brief Refuses reads of more records, as a client does whose answers would be too large.
+  void SetMaxRead(std::size_t records) { max_read_ = records; }
   /// @brief Forgets all records below an offset.
   void ExpireBelow(std::uint64_t offset) { oldest_ = offset; }
   void Add(std::string payload) { payloads_.push_back(std::move(payload)); }
@@ -53,6 +56,9 @@
     if (from.value() < oldest_) {
       return Refuse(ResultCode::kRecordsExpired, "from");
     }
+    if (limit > max_read_ && from.value() <= payloads_.size()) {
+      return Refuse(ResultCode::kLogUnavailable, "answer too large");
+    }
     platform::ReadBatch batch{{}, LogOffset(payloads_.size()), LogOffset(oldest_)};
     for (std::size_t n = from.value(); n <= payloads_.size() && batch.records.size() < limit; ++n) {
       batch.records.push_back({LogOffset(n), payloads_[n - 1]});
@@ -64,6 +70,7 @@
   std::vector<std::string> payloads_;
   std::uint64_t oldest_ = 1;
   std::size_t appends_ = 0;
+  std::size_t max_read_ = std::numeric_limits<std::size_t>::max();
   Fault append_fault_ = Fault::kNone;
   bool is_read_down_ = false;
 };
