Release the memory of a restored image once it is no longer held

Cause: memory was given back while the image and its text were still held by the batch. Ruled out: copying less on the way (the state needs its own rows).

--- a/src/scheduler/decision_duty.h
+++ b/src/scheduler/decision_duty.h
@@ -23,6 +23,7 @@
 #include "scheduler/plan_store.h"
 #include "scheduler/proposal_pacer.h"
 #include "scheduler/record_id_source.h"
+#include "scheduler/release_memory.h"
 #include "scheduler/snapshot_schedule.h"
 #include "scheduler/state_replica.h"
 #include "scheduler/time_pair.h"
@@ -70,6 +71,10 @@
   /// @brief Does what is due: decisions, snapshots, answers whose deadline has passed.
   void Tick(const TimePair& now) {
     pending_.Expire(now.monotonic);
+    if (!is_image_freed_) {
+      ReleaseFreeMemory();
+      is_image_freed_ = true;
+    }
     if (replica_.freshness().is_serving()) {
       attempts_.Flush(replica_.state());
     }
@@ -99,6 +104,7 @@
           Observe(record, outcome, progress);
         });
     if (is_restored) {
+      is_image_freed_ = false;
       snapshots_.NoteWhole(batch.restored->applied_offset());
     }
     for (const platform::FollowedRecord& it : batch.records) {
@@ -439,6 +445,8 @@
   MonotonicTime in_flight_until_;
   MonotonicTime next_decision_;
   MonotonicTime next_health_;
+  /// Whether memory of the last image that was restored was given back to the system.
+  bool is_image_freed_ = true;
   bool is_changed_ = false;
   bool is_draining_ = false;
   bool was_draining_ = false;
--- a/src/scheduler/state_replica.cc
+++ b/src/scheduler/state_replica.cc
@@ -4,7 +4,6 @@
 
 #include "clementineloom/errors/result_code_table.h"
 #include "logging/event_log.h"
-#include "scheduler/release_memory.h"
 
 namespace clementineloom::scheduler {
 namespace {
@@ -49,7 +48,6 @@
     metrics_.Count("loom_snapshots_refused_total", "reason", ResultCodeName(refusal->code));
     return false;
   }
-  ReleaseFreeMemory();
   LogEvent(LogLevel::kInfo, "snapshot_restored",
            {{"applied_offset", image.applied_offset().value()},
             {"config_revision", image.config_revision().value()}});
