Choose the cheapest set of victims on a worker

The greedy choice stopped two small jobs where one of less cost made the room. Run time estimates keep at most 4,096 classes, because callers choose the names.

--- a/include/clementineloom/decision/run_time_estimates.h
+++ b/include/clementineloom/decision/run_time_estimates.h
@@ -33,6 +33,8 @@
  private:
   // With kDecay the oldest of 64 observations has 4% of the newest one's weight.
   static constexpr std::size_t kObservationsKept = 64;
+  // Class names come from callers; a bound keeps them from filling the memory.
+  static constexpr std::size_t kClassesKept = 4'096;
   using Key = std::pair<std::string, std::string>;
 
   /// Newest last.
--- a/src/decision/detail/victim_search.cc
+++ b/src/decision/detail/victim_search.cc
@@ -1,6 +1,7 @@
 #include "clementineloom/decision/detail/victim_search.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace clementineloom::detail {
 
@@ -60,6 +61,10 @@
     }
   }
   std::ranges::sort(borrowed);
+  if (borrowed.size() <= kJobsCompared) {
+    TakeCheapest(borrowed, needed - Available(worker, victims), victims);
+    return;
+  }
   for (const auto& [cost, job] : borrowed) {
     if (Available(worker, victims) >= needed) {
       return;
@@ -68,6 +73,34 @@
   }
 }
 
+void VictimSearch::TakeCheapest(const std::vector<std::pair<std::uint64_t, JobId>>& jobs,
+                                std::int32_t needed, std::set<JobId>& victims) const {
+  // All sets of jobs, as the bits of a number.
+  const std::uint32_t sets = 1U << jobs.size();
+  std::uint64_t least_cost = std::numeric_limits<std::uint64_t>::max();
+  std::uint32_t cheapest = 0;
+  for (std::uint32_t set = 1; set < sets; ++set) {
+    std::uint64_t cost = 0;
+    std::int32_t freed = 0;
+    for (std::size_t n = 0; n < jobs.size(); ++n) {
+      const JobId job = jobs[n].second;
+      if ((set >> n & 1U) != 0 && !victims.contains(job)) {
+        cost += jobs[n].first;
+        freed += state_->FindJob(job)->spec->shape().accelerators_per_worker();
+      }
+    }
+    if (freed >= needed && cost < least_cost) {
+      least_cost = cost;
+      cheapest = set;
+    }
+  }
+  for (std::size_t n = 0; n < jobs.size(); ++n) {
+    if ((cheapest >> n & 1U) != 0) {
+      victims.insert(jobs[n].second);
+    }
+  }
+}
+
 std::uint64_t VictimSearch::CostOf(const std::set<JobId>& victims) const {
   std::uint64_t cost = 0;
   for (const JobId it : victims) {
--- a/src/decision/run_time_estimates.cc
+++ b/src/decision/run_time_estimates.cc
@@ -35,7 +35,14 @@
 }  // namespace
 
 void RunTimeEstimates::Observe(const JobSpec& spec, Duration run_time) {
-  auto& observed = observed_[Key(spec.team(), spec.job_class())];
+  const Key key(spec.team(), spec.job_class());
+  if (observed_.size() >= kClassesKept && !observed_.contains(key)) {
+    // The class with the fewest observations has the least to lose.
+    observed_.erase(std::min_element(
+        observed_.begin(), observed_.end(),
+        [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); }));
+  }
+  auto& observed = observed_[key];
   if (observed.size() == kObservationsKept) {
     observed.erase(observed.begin());
   }
--- a/tests/decision/cell_placer_test.cc
+++ b/tests/decision/cell_placer_test.cc
@@ -118,6 +118,24 @@
   EXPECT_EQ(std::ranges::count(plan->victims, kept), 0);
 }
 
+// Guards against two small victims where a single one of less cost makes the room.
+TEST_F(CellPlacerTest, PlanReclaim_OnOneWorker_ChoosesCheapestSet) {
+  AddDataCentre("a", 1, 1);
+  AddTeam("t", {Guarantee(Shape(1), 1)});
+  std::vector<JobId> borrowers;
+  borrowers.reserve(3);
+  for (const std::uint16_t accelerators : {2, 2, 3}) {
+    borrowers.push_back(Submit("t", Shape(accelerators)));
+    EXPECT_EQ(PlaceAndApply(borrowers.back()), CapacityKind::kBorrowed);
+  }
+  AddTeam("owner", {Guarantee(Shape(4), 1)});
+  const JobId job = Submit("owner", Shape(4));
+  EXPECT_FALSE(Place(job));
+  const auto plan = placer_.PlanReclaim(state_, job);
+  ASSERT_TRUE(plan);
+  EXPECT_EQ(plan->victims, std::vector{borrowers.back()});
+}
+
 // Guards against a second set of victims while the first is still stopping.
 TEST_F(CellPlacerTest, PlanReclaim_WhileVictimsStop_NamesNoOthers) {
   AddDataCentre("a", 3, 2);
