--- a/include/clementineloom/decision/reservation.h
+++ b/include/clementineloom/decision/reservation.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 #include "clementineloom/model/job_id.h"
@@ -16,9 +15,10 @@
   std::vector<WorkerId> workers;
   std::uint16_t accelerators = 0;
   /// Jobs placed on the workers after this offset are backfill, and stop when the job could start
-  /// but for them. Not set until the placements of the pass that made the reservation are applied,
-  /// as those are no backfill.
-  std::optional<LogOffset> made_at;
+  /// but for them.
+  LogOffset made_at;
+  /// Jobs that the same pass placed: their placements get later offsets, but they were there first.
+  std::vector<JobId> placed_before;
 
   friend auto operator<=>(const Reservation&, const Reservation&) = default;
 };
--- a/src/codec/state_image_codec.cc
+++ b/src/codec/state_image_codec.cc
@@ -93,15 +93,21 @@
   return {{"team", detail::ToJson(entry.team)},
           {"deleted", entry.deleted},
           {"active_jobs", entry.active_jobs},
+          {"held_accelerators", entry.held_accelerators},
           {"cells", std::move(cells)}};
 }
 
 Result<TeamEntry> ReadTeamEntry(const JsonReader& json) {
   BOOST_LEAF_AUTO(object, json.Object("team"));
   BOOST_LEAF_AUTO(team, detail::ReadTeam(object));
-  TeamEntry entry{.team = std::move(team), .deleted = false, .active_jobs = 0, .cells = {}};
+  TeamEntry entry{.team = std::move(team),
+                  .deleted = false,
+                  .active_jobs = 0,
+                  .held_accelerators = 0,
+                  .cells = {}};
   BOOST_LEAF_ASSIGN(entry.deleted, json.Bool("deleted"));
   BOOST_LEAF_ASSIGN(entry.active_jobs, json.Number<std::uint32_t>("active_jobs"));
+  BOOST_LEAF_ASSIGN(entry.held_accelerators, json.Number<std::uint32_t>("held_accelerators"));
   BOOST_LEAF_AUTO(cells, json.Array("cells"));
   for (const json::value& it : *cells) {
     BOOST_LEAF_AUTO(row, ReadCells(it));
--- a/src/decision/reservations.cc
+++ b/src/decision/reservations.cc
@@ -50,14 +50,10 @@
            !std::ranges::all_of(it.second.workers,
                                 [&](WorkerId worker) { return state.IsPlaceable(worker); });
   });
-  for (auto& [job, reservation] : reservations_) {
-    if (!reservation.made_at) {
-      reservation.made_at = state.applied_offset();
-    }
-  }
 }
 
-void Reservations::Add(const ClusterState& state, const WorkerRooms& rooms, JobId job) {
+void Reservations::Add(const ClusterState& state, const WorkerRooms& rooms, JobId job,
+                       const std::vector<Placement>& placed_before) {
   const GangShape& shape = state.FindJob(job)->spec->shape();
   // A second reservation of a worker would keep the first job from it.
   std::set<WorkerId> taken;
@@ -82,8 +78,13 @@
     }
   }
   if (!best.empty()) {
-    reservations_.emplace(
-        job, Reservation{job, std::move(best), shape.accelerators_per_worker(), std::nullopt});
+    std::vector<JobId> jobs;
+    for (const Placement& it : placed_before) {
+      jobs.push_back(it.job());
+    }
+    std::ranges::sort(jobs);
+    reservations_.emplace(job, Reservation{job, std::move(best), shape.accelerators_per_worker(),
+                                           state.applied_offset(), std::move(jobs)});
   }
 }
 
@@ -101,8 +102,8 @@
       continue;
     }
     for (const JobId it : entry.jobs) {
-      const bool is_later =
-          reservation.made_at && state.FindJob(it)->token.value() > reservation.made_at->value();
+      const bool is_later = state.FindJob(it)->token.value() > reservation.made_at.value() &&
+                            !std::ranges::binary_search(reservation.placed_before, it);
       if (is_later == backfill) {
         jobs.push_back(it);
       }
