--- a/src/gateway/control_follower_duty.h
+++ b/src/gateway/control_follower_duty.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <string>
 #include <utility>
 
 #include "clementineloom/concurrency/bounded_ring.h"
@@ -11,15 +10,14 @@
 #include "clementineloom/errors/result_code_table.h"
 #include "clementineloom/routing/routing_view_of.h"
 #include "clementineloom/state/cluster_state.h"
-#include "codec/record_codec.h"
 #include "gateway/daemon_health.h"
 #include "gateway/metric_names.h"
 #include "gateway/published_offset.h"
 #include "gateway/routing_event.h"
-#include "gateway/stream_follower.h"
 #include "gateway/streams.h"
 #include "logging/event_log.h"
 #include "metrics/metric_registry.h"
+#include "platform/log_follower.h"
 
 namespace clementineloom::gateway {
 
@@ -33,7 +31,7 @@
   /// Precondition: the references outlive the duty.
   ControlFollowerDuty(Client& log, BoundedRing<RoutingEvent>& routing, PublishedOffset& published,
                       DaemonHealth& health, metrics::MetricRegistry& metrics, StopSignal& stop)
-      : follower_(log, std::string(kControlStream)),
+      : follower_(log, {}, [this](const platform::FollowedBatch& it) { return Apply(it); }),
         routing_(routing),
         published_(published),
         health_(health),
@@ -43,13 +41,8 @@
   /// @brief Follows the stream until the stop signal.
   void Run() {
     while (!stop_.stopped()) {
-      const auto refusal = RefusalOf([&]() -> Result<void> {
-        BOOST_LEAF_AUTO(step, follower_.Next());
-        Apply(step);
-        return {};
-      });
-      if (refusal) {
-        AfterFailedRead(*refusal);
+      if (!follower_.Poll(std::chrono::steady_clock::now())) {
+        AfterFailedRead();
       }
     }
   }
@@ -57,51 +50,64 @@
  private:
   static constexpr std::chrono::milliseconds kRetryPause{100};
 
-  void AfterFailedRead(const Refusal& refusal) {
+  void AfterFailedRead() {
     metrics_.Count(kReadFailures, "stream", kControlStream);
-    if (!was_failing_) {
-      was_failing_ = true;
+    if (!std::exchange(is_failing_, true)) {
       logging::LogEvent(logging::LogLevel::kWarning, "control_read_failed",
-                        {{"code", ResultCodeName(refusal.code)}, {"detail", refusal.detail}});
+                        {{"applied_offset", state_.applied_offset().value()}});
     }
     (void)stop_.WaitFor(kRetryPause);
   }
 
-  void Apply(const FollowStep& step) {
-    was_failing_ = false;
-    for (const platform::StoredRecord& it : step.records) {
+  bool Apply(const platform::FollowedBatch& batch) {
+    is_failing_ = false;
+    if (batch.restored != nullptr) {
+      Restore(*batch.restored);
+    }
+    for (const platform::FollowedRecord& it : batch.records) {
       Apply(it);
     }
-    if (step.is_at_tail && !health_.is_outdated) {
-      Publish(step.read_at);
+    if (batch.is_at_tail() && !health_.is_outdated) {
+      Publish(batch);
     }
+    return true;
   }
 
-  void Apply(const platform::StoredRecord& stored) {
+  void Restore(const StateImage& image) {
     const auto refusal = RefusalOf([&]() -> Result<void> {
-      BOOST_LEAF_AUTO(record, codec::DecodeRecord(stored.payload));
-      (void)state_.Apply(stored.offset, record);
+      BOOST_LEAF_ASSIGN(state_, ClusterState::Restore(image));
       return {};
     });
-    if (!refusal) {
-      return;
+    if (refusal) {
+      // The records that the snapshot stands for are gone, so that the view cannot be whole.
+      health_.is_outdated = true;
+      logging::LogEvent(logging::LogLevel::kError, "snapshot_refused",
+                        {{"detail", refusal->detail}});
+    }
+  }
+
+  void Apply(const platform::FollowedRecord& followed) {
+    if (followed.code != ResultCode::kOk) {
+      metrics_.Count(kRecordsSkipped, "reason", ResultCodeName(followed.code));
+      health_.is_outdated = health_.is_outdated || followed.code == ResultCode::kNewerSchema;
+      logging::LogEvent(
+          logging::LogLevel::kError, "control_record_skipped",
+          {{"offset", followed.offset.value()}, {"reason", ResultCodeName(followed.code)}});
+    } else if (followed.record != nullptr && followed.offset > state_.applied_offset()) {
+      (void)state_.Apply(followed.offset, *followed.record);
     }
-    metrics_.Count(kRecordsSkipped, "reason", ResultCodeName(refusal->code));
-    health_.is_outdated = health_.is_outdated || refusal->code == ResultCode::kNewerSchema;
-    logging::LogEvent(logging::LogLevel::kError, "control_record_skipped",
-                      {{"offset", stored.offset.value()}, {"detail", refusal->detail}});
   }
 
-  void Publish(MonotonicTime fresh_at) {
+  void Publish(const platform::FollowedBatch& batch) {
     if (!IsPublished()) {
       published_revision_ = state_.config_revision();
       published_epoch_ = state_.guarantee_epoch();
       auto view = std::make_shared<const RoutingView>(RoutingViewOf(state_));
-      (void)routing_.Push(ViewUpdate{std::move(view), fresh_at});
+      (void)routing_.Push(ViewUpdate{std::move(view), batch.read_at});
     } else {
-      (void)routing_.Push(ViewConfirmed{fresh_at});
+      (void)routing_.Push(ViewConfirmed{batch.read_at});
     }
-    published_.Set(LogOffset(follower_.next().value() - 1));
+    published_.Set(batch.read_to);
     health_.is_control_caught_up = true;
   }
 
@@ -111,7 +117,7 @@
            published_epoch_ == state_.guarantee_epoch();
   }
 
-  StreamFollower<Client> follower_;
+  platform::LogFollower<Client> follower_;
   BoundedRing<RoutingEvent>& routing_;
   PublishedOffset& published_;
   DaemonHealth& health_;
@@ -120,7 +126,7 @@
   ClusterState state_;
   std::optional<ConfigRevision> published_revision_;
   LogOffset published_epoch_;
-  bool was_failing_ = false;
+  bool is_failing_ = false;
 };
 
 }  // namespace clementineloom::gateway
