Tell a caller that sends too slowly why it is refused

Cause: the stream's own timeout closes the socket, so that the refusal 4003 was never sent (WholeAnswersTest.Caller_ThatSendsSlowly_IsRefusedInTime failed with an empty answer).

Ruled out: closing without an answer; the caller could not tell it from a crash.

Result: a timer of the session ends the receipt and the refusal is sent; the test passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,7 +45,13 @@
 
 struct Session {
   beast::tcp_stream stream;
+  // Ends the receipt of a request. The stream's own timeout would close the socket, so that the
+  // caller could not be told why.
+  asio::steady_timer deadline;
   bool is_idle = true;
+  // Number of the request that is being received, 0 for none.
+  std::uint64_t receiving = 0;
+  bool is_late = false;
 };
 
 Refusal RefusalOfReadError(const error_code& ec) {
@@ -197,7 +203,7 @@
   }
 
   asio::awaitable<void> Serve(Tcp::socket socket) {
-    Session session{beast::tcp_stream(std::move(socket))};
+    Session session{beast::tcp_stream(std::move(socket)), asio::steady_timer(context_)};
     sessions_.insert(&session);
     beast::flat_buffer buf;
     bool keep_alive = true;
@@ -226,18 +232,20 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(options_.max_header_bytes));
     parser.body_limit(options_.max_body_bytes);
-    session.stream.expires_after(options_.request_timeout);
+    StartDeadline(session);
     co_await http::async_read(session.stream, buf, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
+    session.receiving = 0;
+    session.deadline.cancel();
     if (ec) {
-      if (!IsDisconnect(ec)) {
-        const Refusal refusal = RefusalOfReadError(ec);
+      if (session.is_late || !IsDisconnect(ec)) {
+        const Refusal refusal =
+            RefusalOfReadError(session.is_late ? error_code(beast::error::timeout) : ec);
         Observe(refusal.code);
         co_await Write(session, RefusalResponse(refusal), false, false);
       }
       co_return false;
     }
-    session.stream.expires_never();
     const bool wants_keep_alive = parser.get().keep_alive();
     const bool is_head = parser.get().method() == http::verb::head;
     const HttpResponse response = co_await Exchange(detail::FromBeast(parser.release()));
@@ -245,6 +253,19 @@
     co_return co_await Write(session, response, is_head, keep_alive) && keep_alive;
   }
 
+  void StartDeadline(Session& session) {
+    session.stream.expires_never();
+    session.receiving = ++last_request_;
+    session.deadline.expires_after(options_.request_timeout);
+    // The session may end while the handler waits to be called.
+    session.deadline.async_wait([this, it = &session, n = last_request_](const error_code& ec) {
+      if (!ec && sessions_.contains(it) && it->receiving == n) {
+        it->is_late = true;
+        it->stream.cancel();
+      }
+    });
+  }
+
   asio::awaitable<HttpResponse> Exchange(HttpRequest request) {
     const ExchangeId id(++last_exchange_);
     PendingExchange pending{asio::steady_timer(context_, asio::steady_timer::time_point::max()),
@@ -318,6 +339,7 @@
   std::unordered_map<ExchangeId, PendingExchange*> pending_;
   std::set<Session*> sessions_;
   std::uint64_t last_exchange_ = 0;
+  std::uint64_t last_request_ = 0;
   bool is_draining_ = false;
   bool is_grace_over_ = false;
   std::uint16_t port_ = 0;
