Correct what the linter reports in the claims duty

Cause: clang-tidy reports a copied parameter, a capture and a functional cast.

Ruled out: exceptions to the checks.

--- a/src/gateway/claims_duty.h
+++ b/src/gateway/claims_duty.h
@@ -178,10 +178,10 @@
     ++waiting_claims_;
   }
 
-  void Handle(ClaimsRead read) {
+  void Handle(const ClaimsRead& read) {
     for (const ClaimRecord& it : read.records) {
       table_.Apply(it, now_);
-      std::visit([this](const auto& body) { AfterApply(body); }, it);
+      std::visit([this](const auto& body) { this->AfterApply(body); }, it);
     }
     is_caught_up_ = is_caught_up_ || read.is_at_tail;
   }
@@ -288,6 +288,7 @@
       return;
     }
     std::vector<std::string> payloads;
+    payloads.reserve(appends.size());
     for (const ClaimAppend& it : appends) {
       payloads.push_back(it.payload);
     }
--- a/src/gateway/stream_follower.h
+++ b/src/gateway/stream_follower.h
@@ -26,7 +26,8 @@
   /// Errors: kLogUnavailable, kRecordsExpired.
   [[nodiscard]] Result<FollowStep> Next() {
     const MonotonicTime read_at = std::chrono::steady_clock::now();
-    BOOST_LEAF_AUTO(batch, log_.Read(stream_, LogOffset(next_), kMaxRecords, wait_));
+    const LogOffset from(next_);
+    BOOST_LEAF_AUTO(batch, log_.Read(stream_, from, kMaxRecords, wait_));
     FollowStep step{std::move(batch.records), false, read_at};
     if (!step.records.empty()) {
       next_ = step.records.back().offset.value() + 1;
