--- a/src/gateway/stream_follower.h
+++ b/src/gateway/stream_follower.h
@@ -48,7 +48,7 @@
     return {};
   }
 
-  [[nodiscard]] LogOffset next() const { return LogOffset(next_); }
+  [[nodiscard]] LogOffset next() const { return LogOffset{next_}; }
 
  private:
   static constexpr std::size_t kMaxRecords = 1000;
