--- a/src/decision/detail/worker_rooms.cc
+++ b/src/decision/detail/worker_rooms.cc
@@ -1,6 +1,7 @@
 #include "clementineloom/decision/detail/worker_rooms.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "clementineloom/decision/detail/cell_charge.h"
 
@@ -34,16 +35,19 @@
   slack_.Reset(state);
   configured_.Reset(state);
   for (std::uint32_t n = 0; n < rooms_.size(); ++n) {
-    Refresh(state, WorkerId(n));
+    (void)Refresh(state, WorkerId(n));
   }
 }
 
-void WorkerRooms::Refresh(const ClusterState& state, WorkerId worker) {
+bool WorkerRooms::Refresh(const ClusterState& state, WorkerId worker) {
   if (worker.value() >= rooms_.size()) {
     rooms_.resize(worker.value() + 1);
   }
+  const WorkerRoom& room = rooms_[worker.value()];
+  const std::pair before(room.capacity, room.rack);
   Read(state, worker);
   Index(state, worker);
+  return before != std::pair(room.capacity, room.rack);
 }
 
 void WorkerRooms::Read(const ClusterState& state, WorkerId worker) {
@@ -103,12 +107,12 @@
   const WorkerRoom& room = rooms_[worker.value()];
   const std::int32_t slack = room.capacity - room.charged - room.reserved;
   const std::int32_t free = room.capacity > 0 ? room.free : 0;
-  const WorkerEntry& entry = state.worker(worker);
-  const bool is_lost = entry.condition == WorkerCondition::kLost;
   open_.Set(state, worker, Positive(std::min(slack, free)));
   free_.Set(state, worker, Positive(free));
   slack_.Set(state, worker, Positive(slack));
-  configured_.Set(state, worker, is_lost ? 0 : entry.accelerators);
+  // Lost workers count: an instance that failed is usually replaced within minutes, and a job that
+  // waits for it must not be refused for good.
+  configured_.Set(state, worker, state.worker(worker).accelerators);
 }
 
 }  // namespace clementineloom::detail
