Let jobs that leave gang cells partly idle borrow at first

Cause: a job of 1 accelerator took a whole worker of its team's gang cell, so the team's gangs found no idle cell.

Ruled out: never giving such a job a cell; it would wait for borrowers without a bound, so it may use the cell after 5 minutes.

--- a/bench/decision_speed_bench.cc
+++ b/bench/decision_speed_bench.cc
@@ -162,7 +162,7 @@
   for (std::size_t n = 0; n < placed.size(); n += 2) {
     (void)cluster.Apply(JobFinished{placed[n], 1, JobOutcome::kSucceeded, Duration(1)});
   }
-  placer.BeginPass(cluster.state());
+  placer.BeginPass(cluster.state(), Instant());
 }
 
 // The one team with a guarantee of this size starts and ends its gang again and again.
@@ -177,10 +177,10 @@
       return;
     }
     (void)cluster.Apply(JobsPlaced{cluster.state().applied_offset(), {std::move(*placement)}});
-    placer.BeginPass(cluster.state());
+    placer.BeginPass(cluster.state(), Instant());
     (void)cluster.Apply(JobFinished{job, 1, JobOutcome::kSucceeded, Duration(1)});
     (void)release.Measure([&] {
-      placer.BeginPass(cluster.state());
+      placer.BeginPass(cluster.state(), Instant());
       return 0;
     });
   }
@@ -193,7 +193,7 @@
   for (int n = 0; n < 20; ++n) {
     cluster.TouchTeam(n);
     (void)times.Measure([&] {
-      placer.BeginPass(cluster.state());
+      placer.BeginPass(cluster.state(), Instant());
       return 0;
     });
   }
@@ -206,7 +206,7 @@
   CellPlacer placer;
   Times build;
   (void)build.Measure([&] {
-    placer.BeginPass(cluster.state());
+    placer.BeginPass(cluster.state(), Instant());
     return 0;
   });
   build.Print("first read of the state");
--- a/include/clementineloom/decision/cell_placer.h
+++ b/include/clementineloom/decision/cell_placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -27,7 +28,7 @@
   [[nodiscard]] std::optional<Placement> Place(const ClusterState& state, JobId job, Instant now);
 
   /// @brief Starts a pass: takes in the changes of the state, forgets what the last pass took.
-  void BeginPass(const ClusterState& state);
+  void BeginPass(const ClusterState& state, Instant now);
   /// @brief Places a job in its team's cells beside what this pass has taken, and takes its place.
   /// Precondition: the job is waiting and was not placed in this pass.
   [[nodiscard]] std::optional<Placement> PlaceInCell(const ClusterState& state, JobId job);
@@ -42,8 +43,9 @@
     packing_.KeepFree(state, worker, accelerators);
   }
 
-  /// @brief Whether an idle part of the team's guarantees takes a job of this shape.
-  [[nodiscard]] bool HasIdleCell(TeamId team, const GangShape& shape) const;
+  /// @brief Whether an idle part of the team's guarantees takes a new job of this shape.
+  [[nodiscard]] bool HasIdleCell(const ClusterState& state, TeamId team,
+                                 const GangShape& shape) const;
   /// @brief Whether the job could run if all workers that are not lost were idle and in service.
   [[nodiscard]] bool CanEverRun(const ClusterState& state, JobId job) const;
   [[nodiscard]] const GuaranteePacking& packing() const { return packing_; }
@@ -52,10 +54,14 @@
   // Cells and domains looked at for one job; more of them cost time and rarely find a place.
   static constexpr std::size_t kCellsTried = 16;
   static constexpr std::size_t kDomainsTried = 8;
+  // A job that leaves accelerators of a gang cell's workers idle holds up the team's gangs, so it
+  // borrows at first. After this time it uses the cell, so that its team is not kept waiting by
+  // borrowers for ever.
+  static constexpr Duration kPartialUseAfter = std::chrono::minutes(5);
 
   using Workers = std::vector<WorkerId>;
 
-  [[nodiscard]] std::vector<CellKey> CellsFor(const JobEntry& job) const;
+  [[nodiscard]] std::vector<CellKey> CellsFor(const ClusterState& state, const JobEntry& job) const;
   std::optional<Placement> PlaceIn(const ClusterState& state, JobId job, const CellKey& key);
   std::optional<Placement> UseWorkers(const ClusterState& state, JobId job, const CellKey& key,
                                       Workers workers);
@@ -70,6 +76,7 @@
 
   GuaranteePacking packing_;
   std::set<JobId> stopping_;
+  Instant now_;
 };
 
 }  // namespace clementineloom
--- a/include/clementineloom/decision/decision_engine.h
+++ b/include/clementineloom/decision/decision_engine.h
@@ -83,7 +83,7 @@
 
   std::vector<RecordBody> DecidePass(const ClusterState& state, Instant now) {
     Observe(state, now);
-    placer_.BeginPass(state);
+    placer_.BeginPass(state, now);
     reservations_.Refresh(state);
     GuardProbation(state);
     PassResult result;
@@ -167,7 +167,7 @@
       const GangShape& shape = entry.spec->shape();
       const auto [it, is_new] = has_idle_cell.try_emplace({entry.team, shape}, false);
       if (is_new) {
-        it->second = placer_.HasIdleCell(entry.team, shape);
+        it->second = placer_.HasIdleCell(state, entry.team, shape);
       }
       jobs.push_back({RankOf(entry.spec->priority(), it->second), job, entry.team});
     }
--- a/include/clementineloom/decision/pass_placer.h
+++ b/include/clementineloom/decision/pass_placer.h
@@ -14,13 +14,13 @@
 template <class T>
 concept PassPlacer = Placer<T> &&
     requires(T placer, const T& view, const ClusterState& state, JobId job, TeamId team,
-             const GangShape& shape, WorkerId worker, std::int32_t accelerators) {
-  placer.BeginPass(state);
+             const GangShape& shape, WorkerId worker, std::int32_t accelerators, Instant now) {
+  placer.BeginPass(state, now);
   { placer.PlaceInCell(state, job) } -> std::same_as<std::optional<Placement>>;
   { placer.PlaceBorrowing(state, job) } -> std::same_as<std::optional<Placement>>;
   { placer.PlanReclaim(state, job) } -> std::same_as<std::optional<ReclaimPlan>>;
   placer.KeepFree(state, worker, accelerators);
-  { view.HasIdleCell(team, shape) } -> std::same_as<bool>;
+  { view.HasIdleCell(state, team, shape) } -> std::same_as<bool>;
   { view.CanEverRun(state, job) } -> std::same_as<bool>;
   view.packing();
 };
--- a/src/decision/cell_placer.cc
+++ b/src/decision/cell_placer.cc
@@ -38,23 +38,30 @@
   return Placement(std::move(fields));
 }
 
+// Whether the job uses every accelerator of the workers that it takes from the cell.
+bool FillsWorkers(const GangShape& cell, const GangShape& job) {
+  return cell.workers() == 1 || job.accelerators_per_worker() == cell.accelerators_per_worker();
+}
+
 }  // namespace
 
-std::optional<Placement> CellPlacer::Place(const ClusterState& state, JobId job, Instant /*now*/) {
-  BeginPass(state);
+std::optional<Placement> CellPlacer::Place(const ClusterState& state, JobId job, Instant now) {
+  BeginPass(state, now);
   auto placement = PlaceInCell(state, job);
   return placement ? std::move(placement) : PlaceBorrowing(state, job);
 }
 
-void CellPlacer::BeginPass(const ClusterState& state) {
+void CellPlacer::BeginPass(const ClusterState& state, Instant now) {
+  now_ = now;
   packing_.Follow(state);
   stopping_.clear();
 }
 
-bool CellPlacer::HasIdleCell(TeamId team, const GangShape& shape) const {
+bool CellPlacer::HasIdleCell(const ClusterState& state, TeamId team, const GangShape& shape) const {
+  const bool may_borrow = state.team(team).team.may_borrow();
   for (const auto& cells : packing_.cells(team)) {
     for (const CellBinding& it : cells) {
-      if (FitsInCell(it.shape, shape) &&
+      if (FitsInCell(it.shape, shape) && (!may_borrow || FillsWorkers(it.shape, shape)) &&
           it.used_units + CellUnits(it.shape, shape) <= CellCapacity(it.shape)) {
         return true;
       }
@@ -75,8 +82,10 @@
          });
 }
 
-std::vector<CellKey> CellPlacer::CellsFor(const JobEntry& job) const {
+std::vector<CellKey> CellPlacer::CellsFor(const ClusterState& state, const JobEntry& job) const {
   const GangShape& shape = job.spec->shape();
+  const bool may_use_part =
+      !state.team(job.team).team.may_borrow() || now_ - job.submitted_at >= kPartialUseAfter;
   // Cells in use before idle ones, cells with a place before those without, tightest first.
   std::vector<std::tuple<bool, bool, std::uint32_t, CellKey>> found;
   const auto& guarantees = packing_.cells(job.team);
@@ -84,7 +93,8 @@
     for (std::size_t m = 0; m < guarantees[n].size(); ++m) {
       const CellBinding& cell = guarantees[n][m];
       const std::uint32_t rest = CellCapacity(cell.shape) - cell.used_units;
-      if (FitsInCell(cell.shape, shape) && CellUnits(cell.shape, shape) <= rest) {
+      if (FitsInCell(cell.shape, shape) && CellUnits(cell.shape, shape) <= rest &&
+          (may_use_part || FillsWorkers(cell.shape, shape))) {
         const CellKey key = CellKey::At(job.team, n, m);
         const std::uint32_t size =
             rest * (cell.shape.workers() == 1 ? 1U : cell.shape.accelerators_per_worker());
@@ -103,7 +113,7 @@
 }
 
 std::optional<Placement> CellPlacer::PlaceInCell(const ClusterState& state, JobId job) {
-  for (const CellKey& key : CellsFor(*state.FindJob(job))) {
+  for (const CellKey& key : CellsFor(state, *state.FindJob(job))) {
     if (auto placement = PlaceIn(state, job, key)) {
       return placement;
     }
@@ -231,7 +241,7 @@
   const GangShape& shape = entry.spec->shape();
   const VictimSearch search(state, packing_.rooms(), stopping_);
   std::vector<std::pair<Victims, CellKey>> choices;
-  for (const CellKey& key : CellsFor(entry)) {
+  for (const CellKey& key : CellsFor(state, entry)) {
     for (const Workers& site : ReclaimSites(state, key)) {
       Victims victims = search.Choose(site, shape.workers(), shape.accelerators_per_worker());
       if (victims.workers.size() == shape.workers()) {
