Say may_have_run when an earlier attempt may have run

Cause: the last attempt's refusal decided the run state. A GET whose first answer was truncated and whose repetition was refused by the worker was answered with did_not_run, which was not true.

Ruled out: not repeating after a truncated answer; the request is idempotent and the next worker usually answers.

Before: WholeAnswersTest.Get_WhenRefusedAfterTruncatedAnswer_SaysMayHaveRun got did_not_run.

--- a/src/gateway/caller_request.h
+++ b/src/gateway/caller_request.h
@@ -26,6 +26,8 @@
   /// Set once the request is claimed.
   std::optional<ClaimTicket> claim;
   std::uint32_t attempts = 0;
+  /// Whether an earlier attempt may have run at a worker.
+  bool may_have_run = false;
   /// Workers at which an attempt failed.
   std::vector<WorkerId> failed_at;
 };
--- a/src/gateway/routing_duty.h
+++ b/src/gateway/routing_duty.h
@@ -291,6 +291,7 @@
       outstanding_.Failed(worker);
     }
     request.failed_at.push_back(worker);
+    request.may_have_run |= refusal->run_state != RunState::kDidNotRun;
     if (!TryRepeat(request, *refusal)) {
       EndRefused(request, *refusal);
     }
@@ -324,7 +325,11 @@
     responder_.Answer(request, std::move(response));
   }
 
-  void EndRefused(const CallerRequest& request, const Refusal& refusal) {
+  // The last attempt may not have run although an earlier one did.
+  void EndRefused(const CallerRequest& request, const Refusal& last) {
+    const bool is_unsure = request.may_have_run && last.run_state == RunState::kDidNotRun;
+    const Refusal refusal{last.code, is_unsure ? RunState::kMayHaveRun : last.run_state,
+                          last.detail};
     if (request.claim) {
       claims_.End(*request.claim, refusal);
     }
--- a/tests/gateway/whole_answers_test.cc
+++ b/tests/gateway/whole_answers_test.cc
@@ -99,6 +99,19 @@
   EXPECT_EQ(upstream.requests(), 2);
 }
 
+// Guards against "did not run" for a request of which an earlier attempt may have run.
+TEST_F(WholeAnswersTest, Get_WhenRefusedAfterTruncatedAnswer_SaysMayHaveRun) {
+  const ScriptedUpstream upstream([](int n, const std::string&) {
+    return n == 0 ? "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npartial"
+                  : "HTTP/1.1 503 Service Unavailable\r\nX-Run-State: did_not_run\r\n"
+                    "Content-Length: 0\r\n\r\n";
+  });
+  ServeFrom(upstream);
+  const net::HttpResponse answer = Call("GET");
+  EXPECT_GT(upstream.requests(), 1);
+  EXPECT_EQ(answer.headers.Find("X-Run-State"), "may_have_run");
+}
+
 // Guards against a connection that became silent and takes the worker's other requests with it.
 TEST_F(WholeAnswersTest, Get_WhenConnectionIsSilent_IsAnsweredOnNewOne) {
   const ScriptedUpstream upstream(
