--- a/src/decision/reservations.cc
+++ b/src/decision/reservations.cc
@@ -79,6 +79,7 @@
   }
   if (!best.empty()) {
     std::vector<JobId> jobs;
+    jobs.reserve(placed_before.size());
     for (const Placement& it : placed_before) {
       jobs.push_back(it.job());
     }
