Use one place for listening, stop signals and codes of worker refusals

Cause: the servers opened their acceptors in three copies, both daemons and the stand-ins waited for signals in three, and two clients of the workers read the code of a refusal in two. The scheduler did not limit its memory arenas.

Ruled out: sharing the HTTP server itself with the stand-ins; it cannot lose answers or fall silent, and should not.

--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -1,6 +1,3 @@
-#include <malloc.h>
-
-#include <csignal>
 #include <cxxopts.hpp>
 #include <exception>
 #include <iostream>
@@ -9,6 +6,8 @@
 #include "clementineloom/errors/result_code_table.h"
 #include "gateway/gateway_daemon.h"
 #include "logging/event_log.h"
+#include "process/limit_memory_arenas.h"
+#include "process/stop_signals.h"
 #include "settings/load_settings.h"
 
 namespace {
@@ -24,22 +23,6 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
-// The C library's default of eight arenas a core would alone exceed the daemon's 32 MB.
-constexpr int kArenas = 2;
-
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
-  return signals;
-}
-
-void WaitForStopSignal() {
-  const sigset_t signals = StopSignals();
-  int signal = 0;
-  sigwait(&signals, &signal);
-}
 
 Result<int> Serve(const std::string& file) {
   BOOST_LEAF_AUTO(settings, clementineloom::settings::LoadGatewaySettings(file));
@@ -49,8 +32,8 @@
             << std::endl;
   LogEvent(LogLevel::kInfo, "started",
            {{"instance", settings.common.instance}, {"port", daemon->port()}});
-  WaitForStopSignal();
-  LogEvent(LogLevel::kInfo, "draining", {});
+  const int signal = clementineloom::process::WaitForStopSignal();
+  LogEvent(LogLevel::kInfo, "draining", {{"signal", signal}});
   if (!daemon->Drain()) {
     LogEvent(LogLevel::kError, "drain_timed_out",
              {{"drain_timeout_ms", settings.common.drain_timeout_ms}});
@@ -70,10 +53,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  mallopt(M_ARENA_MAX, kArenas);
-  // Blocked before any thread starts, so that only the main thread takes them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  clementineloom::process::LimitMemoryArenas();
+  clementineloom::process::BlockStopSignals();
   cxxopts::Options options("loom-gateway", "Takes requests of callers to workers");
   options.add_options()("settings", "file with the settings", cxxopts::value<std::string>())(
       "help", "print this help");
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -25,6 +25,7 @@
 #include "clementineloom/concurrency/duty_thread.h"
 #include "net/detail/beast_conversion.h"
 #include "net/io_ring.h"
+#include "net/listen.h"
 #include "net/refusal_response.h"
 #include "net/server_answer.h"
 
@@ -91,26 +92,7 @@
   }
 
   Result<void> Listen() {
-    error_code ec;
-    const auto address = asio::ip::make_address(options_.address, ec);
-    if (ec) {
-      return Refuse(ResultCode::kAddressNotNumeric, options_.address);
-    }
-    const Tcp::endpoint endpoint(address, options_.port);
-    acceptor_.open(endpoint.protocol(), ec);
-    if (!ec) {
-      acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-      acceptor_.bind(endpoint, ec);
-    }
-    if (!ec) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-      return Refuse(ResultCode::kInvalidValue,
-                    "cannot listen on " + options_.address + ": " + ec.message());
-    }
+    BOOST_LEAF_CHECK(net::Listen(acceptor_, options_.address, options_.port));
     port_ = acceptor_.local_endpoint().port();
     return {};
   }
--- a/src/platform/http_worker_channel.cc
+++ b/src/platform/http_worker_channel.cc
@@ -6,13 +6,13 @@
 
 #include "platform/detail/parse_answer.h"
 #include "platform/detail/task_json.h"
+#include "platform/detail/worker_refusal_code.h"
 #include "platform/worker_channel.h"
 
 namespace clementineloom::platform {
 namespace {
 
 namespace json = boost::json;
-using codec::detail::JsonReader;
 
 constexpr int kOk = 200;
 
@@ -33,25 +33,6 @@
   }
 };
 
-Result<std::uint16_t> ReadCode(const JsonReader& json) {
-  return json.Number<std::uint16_t>("code");
-}
-
-// Only codes that tell the driver something of their own are handed on.
-ResultCode CodeOf(const std::string& body) {
-  const auto number = detail::ParseAnswer<std::uint16_t>(body, ReadCode);
-  const auto code = static_cast<ResultCode>(number.value_or(0));
-  switch (code) {
-    case ResultCode::kTokenSuperseded:
-    case ResultCode::kReservationLapsed:
-    case ResultCode::kAcceleratorsNotFree:
-    case ResultCode::kUnknownJob:
-      return code;
-    default:
-      return ResultCode::kWorkerRefused;
-  }
-}
-
 WorkerResult ResultOf(const net::ClientResult& result) {
   if (!result.response) {
     return {result.id, Refusal{ResultCode::kWorkerUnreachable, result.refusal->run_state,
@@ -59,7 +40,7 @@
   }
   const net::HttpResponse& response = *result.response;
   if (response.status != kOk) {
-    return {result.id, Refusal{CodeOf(response.body), RunState::kDidNotRun,
+    return {result.id, Refusal{detail::WorkerRefusalCode(response.body), RunState::kDidNotRun,
                                "status " + std::to_string(response.status)}};
   }
   auto report = detail::ParseAnswer<TaskReport>(response.body, detail::ReadTaskReport);
--- a/src/platform/worker_client.cc
+++ b/src/platform/worker_client.cc
@@ -7,34 +7,15 @@
 
 #include "platform/detail/parse_answer.h"
 #include "platform/detail/task_json.h"
+#include "platform/detail/worker_refusal_code.h"
 
 namespace clementineloom::platform {
 namespace {
 
 namespace json = boost::json;
-using codec::detail::JsonReader;
 
 constexpr int kOk = 200;
 
-Result<std::uint16_t> ReadCode(const JsonReader& json) {
-  return json.Number<std::uint16_t>("code");
-}
-
-// Only codes that tell the scheduler something of their own are handed on.
-ResultCode CodeOf(const std::string& body) {
-  const auto number = detail::ParseAnswer<std::uint16_t>(body, ReadCode);
-  const auto code = static_cast<ResultCode>(number.value_or(0));
-  switch (code) {
-    case ResultCode::kTokenSuperseded:
-    case ResultCode::kReservationLapsed:
-    case ResultCode::kAcceleratorsNotFree:
-    case ResultCode::kUnknownJob:
-      return code;
-    default:
-      return ResultCode::kWorkerRefused;
-  }
-}
-
 auto Unreadable(const std::string& address) {
   return Refuse(ResultCode::kWorkerRefused, address + ": unreadable answer", RunState::kMayHaveRun);
 }
@@ -55,7 +36,8 @@
     return Refuse(ResultCode::kWorkerUnreachable, refusal->detail, refusal->run_state);
   }
   if (response->status != kOk) {
-    return Refuse(CodeOf(response->body), address + ": status " + std::to_string(response->status));
+    return Refuse(detail::WorkerRefusalCode(response->body),
+                  address + ": status " + std::to_string(response->status));
   }
   return std::move(response->body);
 }
--- a/src/scheduler/stop_signals.cc
+++ b/src/process/stop_signals.cc
@@ -1,8 +1,8 @@
-#include "scheduler/stop_signals.h"
+#include "process/stop_signals.h"
 
 #include <csignal>
 
-namespace clementineloom::scheduler {
+namespace clementineloom::process {
 namespace {
 
 sigset_t StopSignals() {
@@ -27,4 +27,4 @@
   return signal;
 }
 
-}  // namespace clementineloom::scheduler
+}  // namespace clementineloom::process
--- a/src/scheduler/stop_signals.h
+++ b/src/process/stop_signals.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace clementineloom::scheduler {
+namespace clementineloom::process {
 
 /// @brief Blocks SIGINT and SIGTERM in the calling thread and in threads that it starts later.
 /// Precondition: no other thread runs yet.
@@ -10,4 +10,4 @@
 /// @return the number of the signal
 int WaitForStopSignal();
 
-}  // namespace clementineloom::scheduler
+}  // namespace clementineloom::process
--- a/src/rpc/rpc_server.cc
+++ b/src/rpc/rpc_server.cc
@@ -19,6 +19,7 @@
 #include "clementineloom/concurrency/duty_thread.h"
 #include "net/exchange_id.h"
 #include "net/io_ring.h"
+#include "net/listen.h"
 #include "rpc/detail/json_rpc_dispatcher.h"
 
 namespace clementineloom::rpc {
@@ -61,26 +62,7 @@
   }
 
   Result<void> Listen() {
-    error_code ec;
-    const auto address = asio::ip::make_address(options_.address, ec);
-    if (ec) {
-      return Refuse(ResultCode::kAddressNotNumeric, options_.address);
-    }
-    const Tcp::endpoint endpoint(address, options_.port);
-    acceptor_.open(endpoint.protocol(), ec);
-    if (!ec) {
-      acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-      acceptor_.bind(endpoint, ec);
-    }
-    if (!ec) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-      return Refuse(ResultCode::kInvalidValue,
-                    "cannot listen on " + options_.address + ": " + ec.message());
-    }
+    BOOST_LEAF_CHECK(net::Listen(acceptor_, options_.address, options_.port));
     port_ = acceptor_.local_endpoint().port();
     return {};
   }
--- a/src/scheduler/main.cc
+++ b/src/scheduler/main.cc
@@ -5,8 +5,9 @@
 
 #include "clementineloom/errors/result_code_table.h"
 #include "logging/event_log.h"
+#include "process/limit_memory_arenas.h"
+#include "process/stop_signals.h"
 #include "scheduler/scheduler.h"
-#include "scheduler/stop_signals.h"
 #include "settings/load_settings.h"
 
 namespace {
@@ -33,7 +34,7 @@
                  {{"instance", settings.common.instance},
                   {"rpc_port", scheduler->rpc_port()},
                   {"admin_port", scheduler->admin_port()}});
-        const int signal = clementineloom::scheduler::WaitForStopSignal();
+        const int signal = clementineloom::process::WaitForStopSignal();
         LogEvent(LogLevel::kInfo, "draining", {{"signal", signal}});
         const std::chrono::milliseconds timeout(settings.common.drain_timeout_ms);
         if (!scheduler->Drain(timeout)) {
@@ -51,7 +52,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  clementineloom::scheduler::BlockStopSignals();
+  clementineloom::process::LimitMemoryArenas();
+  clementineloom::process::BlockStopSignals();
   try {
     cxxopts::Options options("loom-scheduler", "Schedules jobs from the control stream");
     options.add_options()("settings", "file of settings (JSON with comments)",
--- a/tests/fakes/fault_http_server.cc
+++ b/tests/fakes/fault_http_server.cc
@@ -26,6 +26,7 @@
 #include "clementineloom/concurrency/duty_thread.h"
 #include "fakes/connection_faults.h"
 #include "net/detail/beast_conversion.h"
+#include "net/listen.h"
 #include "net/parse_endpoint.h"
 #include "net/refusal_response.h"
 
@@ -70,20 +71,7 @@
 
   Result<void> Listen(const std::string& listen) {
     BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(listen));
-    error_code ec;
-    acceptor_.open(endpoint.protocol(), ec);
-    if (!ec) {
-      acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-      acceptor_.bind(endpoint, ec);
-    }
-    if (!ec) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-      return Refuse(ResultCode::kInvalidValue, "cannot listen on " + listen + ": " + ec.message());
-    }
+    BOOST_LEAF_CHECK(net::Listen(acceptor_, endpoint));
     port_ = acceptor_.local_endpoint().port();
     return {};
   }
--- a/tests/fakes/serve_program.h
+++ b/tests/fakes/serve_program.h
@@ -8,7 +8,7 @@
 
 #include "clementineloom/errors/result.h"
 #include "clementineloom/errors/result_code_table.h"
-#include "fakes/signal_wait.h"
+#include "process/stop_signals.h"
 
 namespace clementineloom::fakes {
 
@@ -24,7 +24,7 @@
         BOOST_LEAF_AUTO(server, start());
         std::printf("listening 127.0.0.1:%u\n", unsigned{server->port()});
         std::fflush(stdout);
-        WaitForStopSignal();
+        (void)process::WaitForStopSignal();
         return 0;
       },
       [](const Refusal& refusal) {
@@ -42,7 +42,7 @@
   options.add_options()("listen", "IP:PORT; port 0 lets the kernel choose",
                         cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
       "help", "print this help");
-  BlockStopSignals();
+  process::BlockStopSignals();
   try {
     const cxxopts::ParseResult parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
