--- a/include/clementineloom/model/team.h
+++ b/include/clementineloom/model/team.h
@@ -10,7 +10,7 @@
 
 namespace clementineloom {
 
-/// @brief A tenant with its guaranteed shapes and request limits.
+/// @brief An owner of guaranteed shapes and jobs, with its request limits.
 ///
 /// Thread safety: an immutable value.
 class Team {
--- a/src/scheduler/attempt_driver.cc
+++ b/src/scheduler/attempt_driver.cc
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kPoll{50};
 // An attempt with nothing to do is looked at this often, as a safeguard.
 constexpr std::chrono::seconds kRest{30};
-// Ranks above renew no leases: three schedulers that do so bear two failures at a time.
+// Ranks above renew no leases: three schedulers that do so tolerate two failures at a time.
 constexpr std::size_t kLastRenewingRank = 2;
 // Share of the lease by which the last renewing rank has to renew.
 constexpr double kLastRenewal = 0.9;
