Ask in one place whether a cell has room for a job

Cause: HasIdleCell and CellsFor each held the same three conditions, and the rule on partial use had to be added to both.

Ruled out: moving the rule into FitsInCell; that belongs to the validation rule, and the time after which a job may use part of a cell is policy.

--- a/src/decision/cell_placer.cc
+++ b/src/decision/cell_placer.cc
@@ -43,6 +43,13 @@
   return cell.workers() == 1 || job.accelerators_per_worker() == cell.accelerators_per_worker();
 }
 
+// Whether the idle part of the cell takes a job of the shape.
+// may_use_part: also if that leaves accelerators of the cell's workers idle
+bool HasRoomFor(const CellBinding& cell, const GangShape& job, bool may_use_part) {
+  return FitsInCell(cell.shape, job) && (may_use_part || FillsWorkers(cell.shape, job)) &&
+         cell.used_units + CellUnits(cell.shape, job) <= CellCapacity(cell.shape);
+}
+
 }  // namespace
 
 std::optional<Placement> CellPlacer::Place(const ClusterState& state, JobId job, Instant now) {
@@ -58,16 +65,11 @@
 }
 
 bool CellPlacer::HasIdleCell(const ClusterState& state, TeamId team, const GangShape& shape) const {
-  const bool may_borrow = state.team(team).team.may_borrow();
-  for (const auto& cells : packing_.cells(team)) {
-    for (const CellBinding& it : cells) {
-      if (FitsInCell(it.shape, shape) && (!may_borrow || FillsWorkers(it.shape, shape)) &&
-          it.used_units + CellUnits(it.shape, shape) <= CellCapacity(it.shape)) {
-        return true;
-      }
-    }
-  }
-  return false;
+  const bool may_use_part = !state.team(team).team.may_borrow();
+  return std::ranges::any_of(packing_.cells(team), [&](const auto& cells) {
+    return std::ranges::any_of(
+        cells, [&](const CellBinding& it) { return HasRoomFor(it, shape, may_use_part); });
+  });
 }
 
 bool CellPlacer::CanEverRun(const ClusterState& state, JobId job) const {
@@ -92,9 +94,8 @@
   for (std::size_t n = 0; n < guarantees.size(); ++n) {
     for (std::size_t m = 0; m < guarantees[n].size(); ++m) {
       const CellBinding& cell = guarantees[n][m];
-      const std::uint32_t rest = CellCapacity(cell.shape) - cell.used_units;
-      if (FitsInCell(cell.shape, shape) && CellUnits(cell.shape, shape) <= rest &&
-          (may_use_part || FillsWorkers(cell.shape, shape))) {
+      if (HasRoomFor(cell, shape, may_use_part)) {
+        const std::uint32_t rest = CellCapacity(cell.shape) - cell.used_units;
         const CellKey key = CellKey::At(job.team, n, m);
         const std::uint32_t size =
             rest * (cell.shape.workers() == 1 ? 1U : cell.shape.accelerators_per_worker());
