Decode the text of records of both streams in one place

Cause: the codecs of the control and the claims stream each parsed the text and turned every refusal but that of a newer schema into a corrupt record.

Ruled out: one codec for both streams; their record types do not mix.

--- a/src/codec/claim_codec.cc
+++ b/src/codec/claim_codec.cc
@@ -3,13 +3,12 @@
 #include <boost/algorithm/hex.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <iterator>
-#include <optional>
 #include <utility>
 
 #include "clementineloom/errors/run_state_name.h"
+#include "codec/detail/decode_record.h"
 #include "codec/detail/json_reader.h"
 
 namespace clementineloom::codec {
@@ -119,8 +118,7 @@
   return ClaimRecord(RequestReleased{std::move(claim)});
 }
 
-Result<ClaimRecord> Decode(const json::value& value) {
-  BOOST_LEAF_AUTO(reader, JsonReader::Of(value));
+Result<ClaimRecord> Decode(const JsonReader& reader) {
   BOOST_LEAF_AUTO(version, reader.Number<std::uint32_t>("v"));
   if (version > kClaimSchemaVersion) {
     return Refuse(ResultCode::kNewerSchema, "v" + std::to_string(version));
@@ -150,22 +148,7 @@
 }
 
 Result<ClaimRecord> DecodeClaimRecord(std::string_view text) {
-  boost::system::error_code ec;
-  const json::value value = json::parse(text, ec);
-  if (ec) {
-    return Refuse(ResultCode::kCorruptRecord, ec.message());
-  }
-  std::optional<ClaimRecord> record;
-  const auto refusal = RefusalOf([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(decoded, Decode(value));
-    record.emplace(std::move(decoded));
-    return {};
-  });
-  if (!refusal) {
-    return std::move(*record);
-  }
-  const bool is_newer = refusal->code == ResultCode::kNewerSchema;
-  return Refuse(is_newer ? ResultCode::kNewerSchema : ResultCode::kCorruptRecord, refusal->detail);
+  return detail::DecodeRecordText(text, Decode);
 }
 
 }  // namespace clementineloom::codec
--- a/src/codec/record_codec.cc
+++ b/src/codec/record_codec.cc
@@ -3,13 +3,13 @@
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "codec/detail/config_edit_json.h"
+#include "codec/detail/decode_record.h"
 #include "codec/detail/enum_names.h"
 #include "codec/detail/json_reader.h"
 #include "codec/detail/model_json.h"
@@ -254,24 +254,7 @@
 }
 
 Result<Record> DecodeRecord(std::string_view text) {
-  boost::system::error_code ec;
-  const json::value value = json::parse(text, ec);
-  if (ec) {
-    return Refuse(ResultCode::kCorruptRecord, ec.message());
-  }
-  std::optional<Record> record;
-  const auto refusal = RefusalOf([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(reader, JsonReader::Of(value));
-    BOOST_LEAF_AUTO(decoded, Decode(reader));
-    record.emplace(std::move(decoded));
-    return {};
-  });
-  if (!refusal) {
-    return std::move(*record);
-  }
-  // Whatever field was wrong, the record as a whole is corrupt, unless it is newer.
-  const bool is_newer = refusal->code == ResultCode::kNewerSchema;
-  return Refuse(is_newer ? ResultCode::kNewerSchema : ResultCode::kCorruptRecord, refusal->detail);
+  return detail::DecodeRecordText(text, Decode);
 }
 
 }  // namespace clementineloom::codec
