--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -1,6 +1,6 @@
 # The embeddable library: decisions and state, without input, output, clocks or message encoding.
 file(GLOB_RECURSE library_sources CONFIGURE_DEPENDS
-  src/model/*.cc src/errors/*.cc src/state/*.cc src/decision/*.cc src/routing/*.cc src/membership/*.cc)
+  src/model/*.cc src/errors/*.cc src/state/*.cc src/decision/*.cc src/routing/*.cc src/membership/*.cc src/workload/*.cc)
 add_library(clementineloom STATIC ${library_sources})
 add_library(clementineloom::clementineloom ALIAS clementineloom)
 target_include_directories(clementineloom PUBLIC include)
@@ -46,6 +46,17 @@
 add_module(scheduler loom_platform loom_rpc loom_settings loom_metrics loom_logging loom_process)
 add_module(ctl loom_platform loom_rpc loom_settings)
 
+add_module(entry loom_codec loom_net loom_settings loom_logging loom_process)
+
+# The adapter to the users' platform: names, formats and calls.
+file(GLOB adapter_sources CONFIGURE_DEPENDS platform/*.cc)
+list(FILTER adapter_sources EXCLUDE REGEX "main\\.cc$")
+add_library(loom_adapter STATIC ${adapter_sources})
+target_include_directories(loom_adapter PUBLIC ${PROJECT_SOURCE_DIR})
+target_link_libraries(loom_adapter PUBLIC loom_entry PRIVATE clementineloom_options)
+add_executable(loom-entry platform/main.cc)
+target_link_libraries(loom-entry PRIVATE loom_adapter clementineloom_options)
+
 add_program(loom-gateway gateway)
 add_program(loom-scheduler scheduler)
 add_program(loomctl ctl)
--- /dev/null
+++ b/include/clementineloom/workload/advice_book.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "clementineloom/workload/advice.h"
+#include "clementineloom/workload/step_id.h"
+
+namespace clementineloom::workload {
+
+/// @brief The answers of the advice service, by step.
+///
+/// An approval does not change, so that a worker is asked about once for each life of its ticket.
+/// Thread safety: none; use from one thread.
+class AdviceBook {
+ public:
+  /// @brief Notes that workers were asked about, so that they are not asked about again.
+  void NoteAsked(const StepId& step, const std::vector<std::string>& workers);
+
+  /// @brief Stores an answer.
+  void Add(const StepId& step, const std::vector<Advice>& approved);
+
+  /// @brief Lets workers be asked about again, after a call that got no answer.
+  void ForgetAsked(const StepId& step, const std::vector<std::string>& workers);
+
+  /// @brief Forgets a step.
+  void Drop(const StepId& step);
+
+  /// @brief Whether a worker was asked about and its answer has not expired.
+  [[nodiscard]] bool WasAsked(const StepId& step, const std::string& worker) const;
+
+  /// @brief The ticket for a step on a worker, or empty if it is not approved or has expired.
+  [[nodiscard]] std::string Ticket(const StepId& step, const std::string& worker,
+                                   SteadyTime now) const;
+
+  /// @brief Forgets the tickets that expired, so that their workers are asked about again.
+  void Expire(SteadyTime now);
+
+  /// @brief Forgets a ticket that its worker refused.
+  void Reject(const StepId& step, const std::string& worker);
+
+ private:
+  struct StepAdvice {
+    std::set<std::string> asked;
+    std::map<std::string, Advice> approved;
+  };
+
+  std::map<StepId, StepAdvice> steps_;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "clementineloom/workload/job_entry.h"
+#include "clementineloom/workload/task_id.h"
+
+namespace clementineloom::workload::detail {
+
+/// @brief The tasks of one step that may start now.
+struct StartCandidate {
+  const JobEntry* job = nullptr;
+  StepId step;
+  std::vector<std::uint32_t> task_indexes;
+  /// Unix time since when the tasks are wanted.
+  std::int64_t due_at_ms = 0;
+
+  [[nodiscard]] const StepSpec& spec() const { return job->submission->steps[step.step]; }
+  [[nodiscard]] std::uint32_t priority() const { return job->submission->queue.priority; }
+};
+
+}  // namespace clementineloom::workload::detail
--- /dev/null
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "clementineloom/workload/pool_worker.h"
+#include "clementineloom/workload/step_id.h"
+
+namespace clementineloom::workload::detail {
+
+/// @brief A worker's room while a plan is being made.
+struct WorkerRoom {
+  const PoolWorker* worker = nullptr;
+  Resources free;
+  /// Tasks of steps that this plan has placed here, beside those in worker->runs.
+  std::map<StepId, std::uint32_t> planned;
+  /// Whether tasks run or are planned here that serve users or that fill idle processors.
+  bool has_service_tasks = false;
+  bool has_fill_tasks = false;
+
+  [[nodiscard]] std::uint32_t CountOf(const StepId& step) const {
+    const auto it = planned.find(step);
+    return worker->CountOf(step) + (it == planned.end() ? 0 : it->second);
+  }
+
+  void Take(const StepId& step, const StepSpec& spec) {
+    free = free - spec.Reserved();
+    ++planned[step];
+    has_service_tasks = has_service_tasks || spec.tail_target_ms > 0;
+    has_fill_tasks = has_fill_tasks || spec.fills_idle_cpu;
+  }
+};
+
+}  // namespace clementineloom::workload::detail
--- /dev/null
+++ b/include/clementineloom/workload/job_table.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "clementineloom/workload/job_entry.h"
+#include "clementineloom/workload/workload_record.h"
+
+namespace clementineloom::workload {
+
+/// @brief The jobs as the records of the stream give them.
+///
+/// Records set values, so the table is the same after a record is applied twice, and after only
+/// the newest record of each key is applied in any order.
+/// Thread safety: none; use from one thread.
+class JobTable {
+ public:
+  /// @brief Applies a record; owner records change nothing here.
+  void Apply(const WorkloadRecord& record);
+
+  /// @brief Forgets everything, before a reload.
+  void Clear();
+
+  /// @brief The entry of a job with a submission or a cancellation, or null.
+  [[nodiscard]] const JobEntry* Find(std::string_view job) const;
+
+  [[nodiscard]] const std::map<std::string, JobEntry, std::less<>>& jobs() const { return jobs_; }
+
+  /// @brief Accepted jobs of a queue of which no task has started. Complexity: linear in jobs.
+  [[nodiscard]] std::size_t PendingCount(std::string_view queue) const;
+
+ private:
+  void Set(const SubmissionSet& record);
+  void Set(const CancellationSet& record);
+  void Set(const TaskSet& record);
+  void Set(const JobEndSet& record);
+  void Set(const OwnerSet&) {}
+  void DropIfEmpty(const std::string& job);
+
+  std::map<std::string, JobEntry, std::less<>> jobs_;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/owner_election.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "clementineloom/workload/owner_record.h"
+#include "clementineloom/workload/steady_time.h"
+
+namespace clementineloom::workload {
+
+/// @brief Tells when an instance may claim the ownership that another one holds.
+///
+/// An owner that is alive writes a record at least every kBeatInterval. Silence counts only while
+/// the stream itself can be read: after an outage an owner gets the full time again.
+/// Thread safety: none; use from one thread.
+class OwnerElection {
+ public:
+  static constexpr Milliseconds kBeatInterval{500};
+  /// Three beats and the time to read one.
+  static constexpr Milliseconds kSilence{1'700};
+  /// Instances claim one after the other within this time, so that most claims meet no other.
+  static constexpr Milliseconds kSpread{400};
+  /// A longer gap between two reads counts as an outage.
+  static constexpr Milliseconds kReadGap{2'600};
+
+  /// @param rank 0 to 1; the share of kSpread that this instance waits
+  OwnerElection(std::string instance, double rank);
+
+  /// @brief Notes a record of the owner.
+  void OnOwner(const OwnerRecord& owner, SteadyTime now);
+
+  /// @brief Notes that the stream was read.
+  void OnRead(SteadyTime now);
+
+  /// @brief Whether to claim the ownership now. False before the first read.
+  [[nodiscard]] bool MayClaim(SteadyTime now) const;
+
+  /// @brief An epoch above every one seen, which no other instance takes at the same time.
+  /// @param nonce differs between instances
+  [[nodiscard]] std::uint64_t NextEpoch(std::uint64_t nonce) const;
+
+  [[nodiscard]] const std::optional<OwnerRecord>& owner() const { return owner_; }
+
+ private:
+  // The lower bits of an epoch are the nonce of its instance.
+  static constexpr std::uint64_t kNonceRange = 4'096;
+
+  const std::string instance_;
+  const Milliseconds delay_;
+  std::optional<OwnerRecord> owner_;
+  std::optional<SteadyTime> last_read_;
+  // Last sign of the owner, or the end of the last outage.
+  SteadyTime last_sign_;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/placed_run.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "clementineloom/workload/resources.h"
+#include "clementineloom/workload/run_stage.h"
+#include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/task_run.h"
+
+namespace clementineloom::workload {
+
+/// @brief A run that holds room on a worker. An immutable value.
+struct PlacedRun {
+  TaskRun run;
+  Resources reserved;
+  RunStage stage = RunStage::kRecording;
+  SteadyTime placed_at;
+  /// When the worker last confirmed the start or the stop that led to the stage.
+  SteadyTime confirmed_at;
+  /// Started by an earlier owner, whose late orders the worker refuses once this owner has called.
+  bool is_adopted = false;
+  /// An order to start had no answer and may still be carried out.
+  bool may_start_late = false;
+  std::uint32_t priority = 0;
+  /// Newest progress that the worker reported, or that the run resumed from.
+  std::string checkpoint;
+  /// The run's own fill or service role, which decides whom it disturbs.
+  bool fills_idle_cpu = false;
+  std::int64_t tail_target_ms = 0;
+  /// Share of full speed that the worker lets it work at.
+  std::uint32_t pace_percent = 100;
+
+  friend auto operator<=>(const PlacedRun&, const PlacedRun&) = default;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/plan_request.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "clementineloom/workload/advice_book.h"
+#include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/worker_pool.h"
+
+namespace clementineloom::workload {
+
+/// @brief What the planner decides from. The parts have to outlive the call.
+struct PlanRequest {
+  const JobTable& jobs;
+  const WorkerPool& workers;
+  /// Data centres out of service.
+  const std::set<std::string>& evacuated;
+  /// Tasks whose runs still hold room somewhere, or that must not start yet.
+  const std::set<TaskId>& blocked;
+  const AdviceBook& advice;
+  SteadyTime now;
+  std::int64_t unix_now_ms = 0;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/pool_worker.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+
+#include "clementineloom/workload/placed_run.h"
+#include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/worker_info.h"
+
+namespace clementineloom::workload {
+
+/// @brief A worker with the runs that hold room on it. Thread safety: none; use from one thread.
+struct PoolWorker {
+  WorkerInfo info;
+  /// Whether the directory lists it now.
+  bool is_listed = true;
+  /// Whether its runs are known under the present ownership.
+  bool is_attached = false;
+  /// No new run before this moment: it failed runs or did not answer.
+  SteadyTime usable_from;
+  /// Runs that failed or hung here since the last success.
+  std::uint32_t failures_in_row = 0;
+  /// Room held by all runs, those being stopped included.
+  Resources used;
+  std::map<TaskRun, PlacedRun> runs;
+
+  [[nodiscard]] Resources Free() const { return info.capacity - used; }
+
+  /// @brief Whether new runs may be placed here at a moment.
+  [[nodiscard]] bool TakesRuns(SteadyTime now) const {
+    return is_listed && is_attached && !info.is_draining && now >= usable_from;
+  }
+
+  void Add(PlacedRun run) {
+    used = used + run.reserved;
+    runs.insert_or_assign(run.run, std::move(run));
+  }
+
+  /// @brief Gives the room of a run back. @return whether the run was there.
+  bool Remove(const TaskRun& run) {
+    const auto it = runs.find(run);
+    if (it == runs.end()) {
+      return false;
+    }
+    used = used - it->second.reserved;
+    runs.erase(it);
+    return true;
+  }
+
+  /// @brief Runs of tasks of a step that hold room here.
+  [[nodiscard]] std::uint32_t CountOf(const StepId& step) const {
+    return static_cast<std::uint32_t>(std::count_if(
+        runs.begin(), runs.end(), [&](const auto& it) { return it.first.task.step == step; }));
+  }
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/queue.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace clementineloom::workload {
+
+/// @brief A queue of jobs and the path under which callers reach it. An immutable value.
+struct Queue {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  /// Service whose workers run its tasks.
+  std::string service;
+  /// 0 comes first.
+  std::uint32_t priority = 0;
+  /// Runs of a task that may end as failed.
+  std::uint32_t max_attempts = 1;
+  /// Its jobs should take at most this many times their longest chain of work.
+  double stretch = 1.0;
+  std::int64_t target_latency_ms = 0;
+  /// Callers need no key.
+  bool is_public = false;
+  /// Workers need the approval of the advice service.
+  bool needs_advice = false;
+
+  friend auto operator<=>(const Queue&, const Queue&) = default;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/start_plan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+#include "clementineloom/workload/advice_question.h"
+#include "clementineloom/workload/planned_start.h"
+
+namespace clementineloom::workload {
+
+/// @brief What one planning pass decided. An immutable value.
+struct StartPlan {
+  std::vector<PlannedStart> starts;
+  /// Question for the most urgent step that lacks approved workers with room.
+  std::optional<AdviceQuestion> question;
+
+  friend auto operator<=>(const StartPlan&, const StartPlan&) = default;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/task_record.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "clementineloom/workload/task_phase.h"
+
+namespace clementineloom::workload {
+
+/// @brief What is stored of a task: enough for another instance to take it over. An immutable
+/// value.
+struct TaskRecord {
+  TaskPhase phase = TaskPhase::kWaiting;
+  /// Number of the last start, 0 before the first.
+  std::uint64_t run = 0;
+  /// Worker of the last start.
+  std::string worker;
+  /// Runs that ended as failed.
+  std::uint32_t failures = 0;
+  /// Progress from which the next run resumes; empty for none.
+  std::string checkpoint;
+
+  friend auto operator<=>(const TaskRecord&, const TaskRecord&) = default;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/include/clementineloom/workload/worker_lease.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "clementineloom/workload/steady_time.h"
+
+namespace clementineloom::workload {
+
+/// @brief The lease of all runs of a worker, which ends on the worker's own clock.
+/// Thread safety: none; use from one thread.
+class WorkerLease {
+ public:
+  /// @brief Notes a reading of the worker's clock. @param received_at when the answer arrived
+  void OnClock(std::int64_t clock_ms, SteadyTime received_at);
+
+  /// @brief Forgets the clock, when another life of the worker begins.
+  void Reset();
+
+  /// @brief The end of a lease of a length from now on, on the worker's clock; nothing while that
+  /// clock is not known. The caller sends it, so that it counts as granted.
+  [[nodiscard]] std::optional<std::int64_t> Grant(Milliseconds length, SteadyTime now);
+
+  /// @brief The moment at which every granted lease has ended for certain; nothing if none was
+  /// granted.
+  [[nodiscard]] std::optional<SteadyTime> SurelyEndedAt() const;
+
+ private:
+  // A worker's clock may be this much slow.
+  static constexpr double kSlowestClock = 0.98;
+  // For the kill after the end, and rounding.
+  static constexpr Milliseconds kKillTime{250};
+
+  std::optional<std::int64_t> clock_ms_;
+  SteadyTime read_at_;
+  std::optional<SteadyTime> surely_ended_at_;
+};
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/src/codec/workload_record_codec.cc
@@ -0,0 +1,167 @@
+#include "codec/workload_record_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "codec/detail/submission_json.h"
+#include "codec/task_name.h"
+
+namespace clementineloom::codec {
+namespace {
+
+namespace json = boost::json;
+using workload::CancellationSet;
+using workload::JobEndSet;
+using workload::JobState;
+using workload::KeyedValue;
+using workload::OwnerPhase;
+using workload::OwnerSet;
+using workload::SubmissionSet;
+using workload::TaskPhase;
+using workload::TaskSet;
+using workload::WorkloadRecord;
+
+constexpr std::string_view kOwnerKey = "owner";
+constexpr char kSubmission = 's';
+constexpr char kCancellation = 'c';
+constexpr char kTask = 't';
+constexpr char kEnd = 'e';
+
+std::string Key(char kind, const std::string& name) { return std::string(1, kind) + "/" + name; }
+
+KeyedValue Encode(const SubmissionSet& it) {
+  return {Key(kSubmission, it.job),
+          it.submission ? json::serialize(detail::ToJson(*it.submission)) : std::string()};
+}
+
+KeyedValue Encode(const CancellationSet& it) {
+  return {Key(kCancellation, it.job), it.is_set ? "true" : ""};
+}
+
+KeyedValue Encode(const TaskSet& it) {
+  std::string value;
+  if (it.record) {
+    value =
+        json::serialize(json::array{static_cast<int>(it.record->phase), it.record->run,
+                                    it.record->worker, it.record->failures, it.record->checkpoint});
+  }
+  return {Key(kTask, TaskName(it.task)), std::move(value)};
+}
+
+KeyedValue Encode(const JobEndSet& it) {
+  return {Key(kEnd, it.job), it.state ? std::to_string(static_cast<int>(*it.state)) : ""};
+}
+
+KeyedValue Encode(const OwnerSet& it) {
+  return {std::string(kOwnerKey), json::serialize(json::array{it.owner.epoch, it.owner.instance,
+                                                              static_cast<int>(it.owner.phase)})};
+}
+
+Result<workload::TaskRecord> ReadTask(const json::value& value) {
+  constexpr std::size_t kMembers = 5;
+  const json::array* row = value.if_array();
+  if (row == nullptr || row->size() != kMembers) {
+    return Refuse(ResultCode::kCorruptRecord, "task record");
+  }
+  workload::TaskRecord record;
+  const auto phase = row->at(0).to_number<unsigned>();
+  if (phase > static_cast<unsigned>(TaskPhase::kDone)) {
+    return Refuse(ResultCode::kCorruptRecord, "task phase");
+  }
+  record.phase = static_cast<TaskPhase>(phase);
+  record.run = row->at(1).to_number<std::uint64_t>();
+  record.worker = row->at(2).as_string();
+  record.failures = row->at(3).to_number<std::uint32_t>();
+  record.checkpoint = row->at(4).as_string();
+  return record;
+}
+
+Result<workload::OwnerRecord> ReadOwner(const json::value& value) {
+  constexpr std::size_t kMembers = 3;
+  const json::array* row = value.if_array();
+  if (row == nullptr || row->size() != kMembers) {
+    return Refuse(ResultCode::kCorruptRecord, "owner record");
+  }
+  return workload::OwnerRecord{row->at(0).to_number<std::uint64_t>(),
+                               std::string(row->at(1).as_string()),
+                               static_cast<OwnerPhase>(row->at(2).to_number<unsigned>())};
+}
+
+Result<JobState> ReadEnd(const json::value& value) {
+  const auto number = value.to_number<unsigned>();
+  if (number > static_cast<unsigned>(JobState::kCancelled)) {
+    return Refuse(ResultCode::kCorruptRecord, "job state");
+  }
+  return static_cast<JobState>(number);
+}
+
+Result<WorkloadRecord> DecodeItem(char kind, std::string name, const json::value* value) {
+  switch (kind) {
+    case kSubmission: {
+      SubmissionSet record{name, std::nullopt};
+      if (value != nullptr) {
+        BOOST_LEAF_ASSIGN(record.submission, detail::ReadSubmission(std::move(name), *value));
+      }
+      return WorkloadRecord(std::move(record));
+    }
+    case kCancellation:
+      return WorkloadRecord(CancellationSet{std::move(name), value != nullptr});
+    case kTask: {
+      const auto task = ParseTaskName(name);
+      if (!task) {
+        return Refuse(ResultCode::kCorruptRecord, "task name");
+      }
+      TaskSet record{*task, std::nullopt};
+      if (value != nullptr) {
+        BOOST_LEAF_ASSIGN(record.record, ReadTask(*value));
+      }
+      return WorkloadRecord(std::move(record));
+    }
+    case kEnd: {
+      JobEndSet record{std::move(name), std::nullopt};
+      if (value != nullptr) {
+        BOOST_LEAF_ASSIGN(record.state, ReadEnd(*value));
+      }
+      return WorkloadRecord(std::move(record));
+    }
+    default:
+      return Refuse(ResultCode::kCorruptRecord, "unknown kind of record");
+  }
+}
+
+// Boost.JSON throws where a member has another type than the one asked for.
+Result<WorkloadRecord> Decode(const KeyedValue& item) {
+  json::value value;
+  const bool has_value = !item.value.empty();
+  if (has_value) {
+    value = json::parse(item.value);
+  }
+  if (item.key == kOwnerKey) {
+    BOOST_LEAF_AUTO(owner, ReadOwner(value));
+    return WorkloadRecord(OwnerSet{std::move(owner)});
+  }
+  if (item.key.size() < 3 || item.key[1] != '/') {
+    return Refuse(ResultCode::kCorruptRecord, "key " + item.key);
+  }
+  return DecodeItem(item.key.front(), item.key.substr(2), has_value ? &value : nullptr);
+}
+
+}  // namespace
+
+KeyedValue EncodeWorkloadRecord(const WorkloadRecord& record) {
+  return std::visit([](const auto& it) { return Encode(it); }, record);
+}
+
+Result<WorkloadRecord> DecodeWorkloadRecord(const KeyedValue& item) {
+  try {
+    return Decode(item);
+  } catch (const std::exception& error) {
+    return Refuse(ResultCode::kCorruptRecord, item.key + ": " + error.what());
+  }
+}
+
+}  // namespace clementineloom::codec
--- /dev/null
+++ b/src/entry/caller/caller_front.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/job_table.h"
+#include "codec/workload_record_codec.h"
+#include "entry/caller/caller_call.h"
+#include "entry/operator/operator_view.h"
+#include "entry/port/call_port.h"
+#include "entry/store/appender.h"
+#include "logging/event_log.h"
+#include "net/refusal_response.h"
+#include "net/server_request.h"
+
+namespace clementineloom::entry {
+
+/// @brief Answers callers: takes jobs and cancellations by recording them, and shows states.
+///
+/// A submission or cancellation is answered with success once the store has acknowledged its
+/// record, with 503 if it was surely not recorded, and with 504 if that is not known in time.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class CallerFront {
+ public:
+  struct Hooks {
+    std::function<void(net::ExchangeId, net::HttpResponse)> answer;
+    /// A job was accepted or cancelled here.
+    std::function<void()> on_jobs_changed;
+    /// When the newest answer of the store to a read of the jobs arrived, once all were loaded.
+    std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
+  };
+
+  CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
+              Appender<Platform, Port>& appender, Hooks hooks)
+      : port_(port),
+        jobs_(jobs),
+        operators_(operators),
+        appender_(appender),
+        hooks_(std::move(hooks)) {}
+
+  void Handle(net::ServerRequest request) {
+    const CallerCall call = Platform::ParseCaller(request.request);
+    if (!operators_.config()) {
+      Refuse(request.id, {ResultCode::kViewStale, RunState::kDidNotRun, "no configuration yet"});
+      return;
+    }
+    const workload::WorkloadConfig& config = *operators_.config();
+    const workload::Queue* queue = config.Route(call.host, call.path);
+    if (queue == nullptr) {
+      Refuse(request.id, {ResultCode::kUnknownJob, RunState::kDidNotRun, "no such queue"});
+      return;
+    }
+    const workload::TeamAccess* team = config.TeamOfKey(call.key);
+    if (team == nullptr && !queue->is_public) {
+      hooks_.answer(request.id, Platform::UnauthorizedResponse());
+      return;
+    }
+    Dispatch(request, call, *queue, team == nullptr ? std::string() : team->name);
+  }
+
+  /// @brief Requests that wait for the store.
+  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  // The answer has to reach the caller before it gives up.
+  static constexpr workload::Milliseconds kAnswerMargin{150};
+  // An older view may lack a job that was accepted elsewhere and has to be visible by now.
+  static constexpr workload::Milliseconds kMaxViewAge{2'400};
+
+  void Dispatch(const net::ServerRequest& request, const CallerCall& call,
+                const workload::Queue& queue, std::string team) {
+    const std::string id = call.path.substr(queue.path_prefix.size());
+    if (call.kind == CallKind::kRead && id.empty()) {
+      hooks_.answer(request.id, Platform::QueueResponse(jobs_.PendingCount(queue.name)));
+    } else if (!Platform::IsJobId(id)) {
+      Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "job id"});
+    } else if (call.kind == CallKind::kRead) {
+      Show(request.id, id);
+    } else if (call.kind == CallKind::kSubmit) {
+      Submit(request, call, queue, std::move(team), id);
+    } else if (call.kind == CallKind::kCancel) {
+      Cancel(request.id, call, id);
+    } else {
+      Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "method"});
+    }
+  }
+
+  void Show(net::ExchangeId exchange, const std::string& id) {
+    const workload::JobEntry* job = jobs_.Find(id);
+    if (job != nullptr && job->submission) {
+      hooks_.answer(exchange, Platform::StateResponse(job->State()));
+      return;
+    }
+    const auto read_at = hooks_.jobs_read_at();
+    if (!read_at || port_.Now() - *read_at > kMaxViewAge) {
+      Refuse(exchange, {ResultCode::kViewStale, RunState::kDidNotRun, "jobs not read of late"});
+      return;
+    }
+    hooks_.answer(exchange, Platform::NoSuchJobResponse());
+  }
+
+  void Submit(const net::ServerRequest& request, const CallerCall& call,
+              const workload::Queue& queue, std::string team, const std::string& id) {
+    const workload::JobEntry* known = jobs_.Find(id);
+    if (known != nullptr && known->submission) {
+      hooks_.answer(request.id, Platform::AcceptedResponse());
+      return;
+    }
+    auto submission = Platform::ParseJob(request.request.body);
+    if (!submission) {
+      Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "job body"});
+      return;
+    }
+    submission->id = id;
+    submission->queue = queue;
+    submission->team = std::move(team);
+    submission->accepted_at_ms = port_.UnixNowMs();
+    Record(request.id, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted",
+           id);
+  }
+
+  void Cancel(net::ExchangeId exchange, const CallerCall& call, const std::string& id) {
+    const workload::JobEntry* job = jobs_.Find(id);
+    if (job != nullptr && (job->is_cancelled || job->end)) {
+      hooks_.answer(exchange, Platform::AcceptedResponse());
+      return;
+    }
+    Record(exchange, call, workload::CancellationSet{id, true}, "job_cancelled", id);
+  }
+
+  // Answers once the outcome of the record is known, or when the caller is about to give up.
+  void Record(net::ExchangeId exchange, const CallerCall& call, workload::WorkloadRecord record,
+              std::string_view event, const std::string& id) {
+    waiting_.emplace(exchange, id);
+    port_.After(std::max(workload::Milliseconds(call.patience_ms) - kAnswerMargin,
+                         workload::Milliseconds(0)),
+                [this, exchange] { GiveUp(exchange); });
+    appender_.Append({codec::EncodeWorkloadRecord(record)},
+                     [this, exchange, record, event, id](AppendStatus status) {
+                       OnRecorded(exchange, record, event, id, status);
+                     });
+  }
+
+  void OnRecorded(net::ExchangeId exchange, const workload::WorkloadRecord& record,
+                  std::string_view event, const std::string& id, AppendStatus status) {
+    const bool is_recorded = status == AppendStatus::kAppended;
+    if (is_recorded) {
+      logging::LogEvent(logging::LogLevel::kInfo, event, {{"job", id}});
+      jobs_.Apply(record);
+    }
+    if (waiting_.erase(exchange) > 0) {
+      if (is_recorded) {
+        hooks_.answer(exchange, Platform::AcceptedResponse());
+      } else if (status == AppendStatus::kRefused) {
+        Refuse(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun, "store refused"});
+      } else {
+        Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
+      }
+    }
+    if (is_recorded) {
+      hooks_.on_jobs_changed();
+    }
+  }
+
+  void GiveUp(net::ExchangeId exchange) {
+    const auto it = waiting_.find(exchange);
+    if (it == waiting_.end()) {
+      return;
+    }
+    logging::LogEvent(logging::LogLevel::kWarning, "job_outcome_unknown", {{"job", it->second}});
+    waiting_.erase(it);
+    Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
+  }
+
+  void Refuse(net::ExchangeId exchange, const Refusal& refusal) {
+    hooks_.answer(exchange, net::RefusalResponse(refusal));
+  }
+
+  Port& port_;
+  workload::JobTable& jobs_;
+  const OperatorView& operators_;
+  Appender<Platform, Port>& appender_;
+  const Hooks hooks_;
+  // Job of each request that waits for the store.
+  std::map<net::ExchangeId, std::string> waiting_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/decision_duty.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "entry/entry_event.h"
+#include "entry/entry_state.h"
+#include "entry/port/http_call_port.h"
+#include "net/http_server.h"
+#include "settings/entry_settings.h"
+
+namespace clementineloom::entry {
+
+/// @brief The duty that decides: it takes events off its ring and runs timers, and waits on the
+/// ring in between. Thread safety: Run is called once, on the duty's thread.
+template <class Platform>
+class DecisionDuty {
+ public:
+  DecisionDuty(const settings::EntrySettings& settings, BoundedRing<EntryEvent>& events,
+               net::HttpServer& front, std::atomic<bool>& is_ready)
+      : events_(events),
+        port_(events),
+        state_(port_, settings,
+               {[&front](net::ExchangeId id, net::HttpResponse response) {
+                  front.Answer(id, std::move(response));
+                },
+                [&is_ready](bool ready) { is_ready = ready; }},
+               std::random_device{}()) {}
+
+  /// @brief Runs until the ring is closed.
+  void Run() {
+    state_.Start();
+    while (!events_.closed()) {
+      if (auto event = NextEvent()) {
+        std::visit([this](auto& it) { Handle(std::move(it)); }, *event);
+      }
+      port_.timers().RunDue(port_.Now());
+    }
+  }
+
+ private:
+  // Only a bound for the wait on a ring without timers.
+  static constexpr std::chrono::seconds kMaxWait{10};
+
+  std::optional<EntryEvent> NextEvent() {
+    const auto next = port_.timers().Next();
+    const auto now = port_.Now();
+    if (next && *next <= now) {
+      return events_.TryPop();
+    }
+    return events_.PopFor(next ? *next - now : std::chrono::nanoseconds(kMaxWait));
+  }
+
+  void Handle(net::ServerRequest request) { state_.OnRequest(std::move(request)); }
+  void Handle(net::ClientResult result) { port_.Deliver(result); }
+  void Handle(StopRequested) { state_.OnStop(); }
+
+  BoundedRing<EntryEvent>& events_;
+  HttpCallPort port_;
+  EntryState<Platform, HttpCallPort> state_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/entry_daemon.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "clementineloom/concurrency/duty_thread.h"
+#include "entry/decision_duty.h"
+#include "entry/entry_event.h"
+#include "net/http_server.h"
+#include "net/parse_endpoint.h"
+#include "settings/entry_settings.h"
+
+namespace clementineloom::entry {
+
+/// @brief The duties of an entry instance: the callers' I/O, the readiness check, the calls' I/O
+/// and the decisions, joined by bounded rings.
+/// Thread safety: use from one thread.
+template <class Platform>
+class EntryDaemon {
+ public:
+  /// Errors: kAddressNotNumeric, kInvalidValue (an address cannot be bound).
+  [[nodiscard]] static Result<std::unique_ptr<EntryDaemon>> Start(
+      const settings::EntrySettings& settings) {
+    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon());
+    BOOST_LEAF_CHECK(daemon->Open(settings));
+    return daemon;
+  }
+
+  ~EntryDaemon() {
+    events_.Close();
+    decisions_.reset();
+  }
+  EntryDaemon(const EntryDaemon&) = delete;
+  EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+  /// @brief Hands ownership over, finishes requests in progress and takes no new ones.
+  /// @return false if the time was too short
+  [[nodiscard]] bool Drain(std::chrono::milliseconds timeout) {
+    is_ready_ = false;
+    (void)events_.Push(StopRequested{});
+    front_->BeginDrain();
+    return front_->WaitDrained(timeout);
+  }
+
+ private:
+  static constexpr std::size_t kEventRing = 4'096;
+  static constexpr int kOk = 200;
+  static constexpr int kNotReady = 503;
+
+  EntryDaemon() = default;
+
+  Result<void> Open(const settings::EntrySettings& settings) {
+    BOOST_LEAF_AUTO(ready_options, OptionsOf(settings.ready));
+    BOOST_LEAF_AUTO(front_options, OptionsOf(settings.listen));
+    BOOST_LEAF_ASSIGN(
+        ready_, net::HttpServer::Start("ready", ready_options, [this](net::ServerRequest request) {
+          AnswerReady(request);
+          return true;
+        }));
+    BOOST_LEAF_ASSIGN(front_, net::HttpServer::Start("callers", front_options,
+                                                     [this](net::ServerRequest request) {
+                                                       return events_.TryPush(std::move(request));
+                                                     }));
+    decisions_.emplace("decisions", [this, settings] {
+      DecisionDuty<Platform> duty(settings, events_, *front_, is_ready_);
+      duty.Run();
+    });
+    return {};
+  }
+
+  static Result<net::HttpServerOptions> OptionsOf(const std::string& address) {
+    BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(address));
+    net::HttpServerOptions options;
+    options.address = endpoint.address().to_string();
+    options.port = endpoint.port();
+    return options;
+  }
+
+  // Runs on the server's thread, so that the check costs the decisions nothing.
+  void AnswerReady(const net::ServerRequest& request) {
+    ready_->Answer(request.id, {is_ready_ ? kOk : kNotReady, {}, {}});
+  }
+
+  std::atomic<bool> is_ready_{false};
+  BoundedRing<EntryEvent> events_{kEventRing};
+  std::unique_ptr<net::HttpServer> ready_;
+  std::unique_ptr<net::HttpServer> front_;
+  std::optional<DutyThread> decisions_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/entry_state.h
@@ -0,0 +1,322 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/owner_election.h"
+#include "codec/workload_record_codec.h"
+#include "entry/caller/caller_front.h"
+#include "entry/operator/operator_item.h"
+#include "entry/operator/operator_view.h"
+#include "entry/owner/owner.h"
+#include "entry/owner/worker_directory.h"
+#include "entry/port/call_port.h"
+#include "entry/port/life_guard.h"
+#include "entry/store/appender.h"
+#include "entry/store/topic_follower.h"
+#include "logging/event_log.h"
+#include "settings/entry_settings.h"
+
+namespace clementineloom::entry {
+
+/// @brief All that an entry instance knows and decides: it follows the store, answers callers and
+/// owns the workers while it is the one elected.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class EntryState {
+ public:
+  struct Hooks {
+    std::function<void(net::ExchangeId, net::HttpResponse)> answer;
+    std::function<void(bool)> set_ready;
+  };
+
+  /// @param seed differs between processes, also between two lives of one
+  EntryState(Port& port, settings::EntrySettings settings, Hooks hooks, std::uint32_t seed)
+      : port_(port),
+        settings_(std::move(settings)),
+        hooks_(std::move(hooks)),
+        seed_(seed),
+        election_(settings_.instance, RankOf(seed)),
+        jobs_topic_{settings_.store, Platform::kJobsTopic},
+        operator_follower_(port, {settings_.store, Platform::kOperatorTopic}, OperatorPace(),
+                           {[this](const auto& items) { OnOperatorReload(items); },
+                            [this](const auto& items) { OnOperatorItems(items); }}),
+        jobs_follower_(port, jobs_topic_, FollowerPace(),
+                       {[this](const auto& items) { OnJobsReload(items); },
+                        [this](const auto& items) { OnJobItems(items); }}),
+        appender_(port, jobs_topic_, CallerAppends()),
+        front_(port, jobs_, operators_, appender_,
+               {hooks_.answer, [this] { OnOwnJobsChanged(); },
+                [this] { return jobs_follower_.last_read_at(); }}) {}
+
+  /// @brief Begins to follow the store. Call once.
+  void Start() {
+    operator_follower_.Start();
+    jobs_follower_.Start();
+    CheckElection();
+  }
+
+  void OnRequest(net::ServerRequest request) { front_.Handle(std::move(request)); }
+
+  /// @brief Hands ownership over and claims it no more.
+  void OnStop() {
+    is_stopping_ = true;
+    if (owner_ != nullptr) {
+      owner_->Resign([this] { DropOwnerSoon(); });
+    }
+  }
+
+  [[nodiscard]] bool is_owner() const { return owner_ != nullptr; }
+
+ private:
+  static constexpr workload::Milliseconds kElectionCheck{100};
+  static constexpr workload::Milliseconds kClaimTimeout{800};
+  // Leases must outlast a change of owner, and workers shorten longer ones than they grant.
+  static constexpr workload::Milliseconds kLease{5'500};
+  static constexpr workload::Milliseconds kLeaseMargin{200};
+
+  static double RankOf(std::uint32_t seed) {
+    constexpr std::uint32_t kSteps = 1'000;
+    return static_cast<double>(seed % kSteps) / kSteps;
+  }
+
+  static TopicFollowerOptions FollowerPace() { return {}; }
+  // Jobs reach the owner with little delay.
+  static TopicFollowerOptions OwnerPace() {
+    TopicFollowerOptions pace;
+    pace.pause = workload::Milliseconds(15);
+    return pace;
+  }
+  static TopicFollowerOptions OperatorPace() { return OwnerPace(); }
+
+  AppenderOptions CallerAppends() const {
+    AppenderOptions options;
+    options.producer = settings_.instance + "-" + std::to_string(seed_);
+    options.epoch = 1;
+    return options;
+  }
+
+  // --- The operators' items.
+
+  void OnOperatorReload(const std::vector<TopicItem>& items) {
+    operators_.RestoreAll();
+    OnOperatorItems(items);
+  }
+
+  void OnOperatorItems(const std::vector<TopicItem>& items) {
+    for (const TopicItem& it : items) {
+      TakeOperatorItem(it.item);
+    }
+    UpdateReady();
+    if (owner_ != nullptr && !items.empty()) {
+      owner_->OnOperatorsChanged();
+    }
+  }
+
+  void TakeOperatorItem(const workload::KeyedValue& item) {
+    if (const auto data_centre = Platform::EvacuatedDataCentre(item.key)) {
+      logging::LogEvent(logging::LogLevel::kInfo, "evacuation",
+                        {{"data_centre", *data_centre}, {"active", item.value.empty() ? 0 : 1}});
+      item.value.empty() ? operators_.Restore(*data_centre) : operators_.Evacuate(*data_centre);
+      return;
+    }
+    if (item.value.empty()) {
+      return;
+    }
+    OperatorItem parsed = Platform::ParseOperatorItem(item);
+    if (auto* config = std::get_if<workload::WorkloadConfig>(&parsed)) {
+      const std::uint64_t version = config->version;
+      if (operators_.Offer(std::move(*config))) {
+        logging::LogEvent(logging::LogLevel::kInfo, "config_in_force", {{"version", version}});
+      }
+    } else {
+      logging::LogEvent(logging::LogLevel::kWarning, "operator_item_ignored", {{"key", item.key}});
+    }
+  }
+
+  // --- The jobs.
+
+  void OnJobsReload(const std::vector<TopicItem>& items) {
+    // An owner's table is ahead of the store.
+    if (owner_ == nullptr) {
+      jobs_.Clear();
+    }
+    OnJobItems(items);
+    logging::LogEvent(logging::LogLevel::kInfo, "jobs_loaded",
+                      {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
+  }
+
+  void OnJobItems(const std::vector<TopicItem>& items) {
+    election_.OnRead(port_.Now());
+    bool has_job_changes = false;
+    for (const TopicItem& it : items) {
+      has_job_changes = TakeJobRecord(it.item) || has_job_changes;
+    }
+    UpdateReady();
+    if (owner_ != nullptr && has_job_changes) {
+      owner_->OnJobsChanged();
+    }
+  }
+
+  // Returns whether the record is of the kinds that callers cause.
+  bool TakeJobRecord(const workload::KeyedValue& item) {
+    const auto record = CatchRefusal(
+        [&]() -> Result<std::optional<workload::WorkloadRecord>> {
+          BOOST_LEAF_AUTO(decoded, codec::DecodeWorkloadRecord(item));
+          return std::optional(std::move(decoded));
+        },
+        [](const Refusal& refusal) {
+          logging::LogEvent(logging::LogLevel::kError, "record_ignored",
+                            {{"code", static_cast<int>(refusal.code)}, {"detail", refusal.detail}});
+          return std::optional<workload::WorkloadRecord>();
+        });
+    if (!record) {
+      return false;
+    }
+    if (const auto* set = std::get_if<workload::OwnerSet>(&*record)) {
+      TakeOwner(set->owner);
+      return false;
+    }
+    const bool is_of_callers = std::holds_alternative<workload::SubmissionSet>(*record) ||
+                               std::holds_alternative<workload::CancellationSet>(*record);
+    if (owner_ == nullptr || is_of_callers) {
+      jobs_.Apply(*record);
+    }
+    return is_of_callers;
+  }
+
+  void TakeOwner(const workload::OwnerRecord& owner) {
+    election_.OnOwner(owner, port_.Now());
+    if (owner_ != nullptr && owner.epoch > epoch_) {
+      OnOwnershipLost();
+    }
+  }
+
+  void OnOwnJobsChanged() {
+    if (owner_ != nullptr) {
+      owner_->OnJobsChanged();
+    }
+  }
+
+  void UpdateReady() {
+    hooks_.set_ready(!is_stopping_ && operators_.config() && jobs_follower_.is_loaded());
+  }
+
+  // --- Ownership.
+
+  void CheckElection() {
+    if (owner_ == nullptr && !is_claiming_ && !is_stopping_ && jobs_follower_.is_loaded() &&
+        election_.MayClaim(port_.Now())) {
+      Claim();
+    }
+    port_.After(kElectionCheck, [this] { CheckElection(); });
+  }
+
+  void Claim() {
+    is_claiming_ = true;
+    epoch_ = election_.NextEpoch(seed_);
+    AppendOrder order;
+    order.items = {codec::EncodeWorkloadRecord(
+        workload::OwnerSet{{epoch_, settings_.instance, workload::OwnerPhase::kActive}})};
+    order.producer = kOwnerProducer;
+    order.epoch = epoch_;
+    order.expected_end = jobs_follower_.next_offset();
+    logging::LogEvent(logging::LogLevel::kInfo, "claiming_ownership",
+                      {{"epoch", epoch_}, {"offset", *order.expected_end}});
+    port_.Call(settings_.store, Platform::AppendRequest(jobs_topic_.topic, order), kClaimTimeout,
+               [this, offset = *order.expected_end](const net::ClientResult& result) {
+                 OnClaimAnswer(offset, Platform::ParseAppend(result));
+               });
+  }
+
+  void OnClaimAnswer(std::uint64_t offset, const AppendAnswer& answer) {
+    is_claiming_ = false;
+    if (answer.status != AppendStatus::kAppended) {
+      // Without an answer the claim may hold. Then it counts as another owner's that never
+      // speaks again: this instance claims a higher epoch after the usual silence.
+      logging::LogEvent(logging::LogLevel::kInfo, "claim_failed",
+                        {{"epoch", epoch_}, {"status", static_cast<int>(answer.status)}});
+      return;
+    }
+    if (is_stopping_) {
+      return;
+    }
+    BecomeOwner(offset);
+  }
+
+  void BecomeOwner(std::uint64_t offset) {
+    logging::LogEvent(logging::LogLevel::kInfo, "ownership_taken",
+                      {{"epoch", epoch_}, {"offset", offset}});
+    election_.OnOwner({epoch_, settings_.instance, workload::OwnerPhase::kActive}, port_.Now());
+    AppenderOptions appends;
+    appends.producer = kOwnerProducer;
+    appends.epoch = epoch_;
+    appends.first_sequence = 1;
+    appends.retries_refused = true;
+    OwnerOptions options;
+    options.instance = settings_.instance;
+    options.epoch = epoch_;
+    options.lease = std::min(kLease, workload::Milliseconds(settings_.max_lease_ms) - kLeaseMargin);
+    options.stop_timeout = workload::Milliseconds(settings_.stop_timeout_ms);
+    options.retention = std::chrono::seconds(settings_.state_retention_s);
+    options.advice_address = settings_.advice;
+    owner_ = std::make_unique<Owner<Platform, Port>>(
+        port_, jobs_, operators_,
+        std::make_unique<Appender<Platform, Port>>(port_, jobs_topic_, appends), options,
+        [this] { OnOwnershipLost(); });
+    jobs_follower_.set_options(OwnerPace());
+    directory_ = std::make_unique<WorkerDirectory<Platform, Port>>(
+        port_, StoreEndpoint{settings_.store, Platform::kWorkerTopic},
+        typename WorkerDirectory<Platform, Port>::Sink{
+            [this](const workload::WorkerInfo& it) { owner_->OnWorker(it); },
+            [this](const std::string& id) { owner_->OnWorkerGone(id); }});
+    owner_->Start();
+    directory_->Start();
+  }
+
+  void OnOwnershipLost() {
+    // The table holds changes that may not be stored.
+    jobs_follower_.set_options(FollowerPace());
+    jobs_follower_.Reload();
+    DropOwnerSoon();
+  }
+
+  // The owner may be the caller.
+  void DropOwnerSoon() {
+    port_.After(workload::Milliseconds(0), [this] {
+      directory_.reset();
+      owner_.reset();
+    });
+  }
+
+  static constexpr const char* kOwnerProducer = "owner";
+
+  Port& port_;
+  const settings::EntrySettings settings_;
+  const Hooks hooks_;
+  const std::uint32_t seed_;
+  workload::OwnerElection election_;
+  const StoreEndpoint jobs_topic_;
+  workload::JobTable jobs_;
+  OperatorView operators_;
+  TopicFollower<Platform, Port> operator_follower_;
+  TopicFollower<Platform, Port> jobs_follower_;
+  Appender<Platform, Port> appender_;
+  CallerFront<Platform, Port> front_;
+  std::unique_ptr<Owner<Platform, Port>> owner_;
+  std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
+  // Epoch of the last claim.
+  std::uint64_t epoch_ = 0;
+  bool is_claiming_ = false;
+  bool is_stopping_ = false;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/owner/owner_options.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "clementineloom/workload/steady_time.h"
+
+namespace clementineloom::entry {
+
+/// @brief Identity and bounds of an owner.
+struct OwnerOptions {
+  std::string instance;
+  std::uint64_t epoch = 0;
+  /// Length of the leases that are granted.
+  workload::Milliseconds lease{5'500};
+  /// Longest time that a worker takes to stop a run.
+  workload::Milliseconds stop_timeout{1'000};
+  /// Time for which an ended job is kept.
+  workload::Milliseconds retention{120'000};
+  /// Address of the advice service; empty where there is none.
+  std::string advice_address;
+
+  friend auto operator<=>(const OwnerOptions&, const OwnerOptions&) = default;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/owner/worker_link.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+#include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/worker_lease.h"
+
+namespace clementineloom::entry {
+
+/// @brief The owner's dialogue with a worker. Thread safety: none; use from one thread.
+struct WorkerLink {
+  workload::WorkerLease lease;
+  /// A call for the lists is on its way or about to be sent.
+  bool is_polling = false;
+  /// Ends that were listed are being recorded; the next call acknowledges them.
+  bool is_recording_ends = false;
+  /// Ends up to this number are recorded.
+  std::uint64_t acknowledged_end = 0;
+  /// Calls in a row without an answer.
+  std::uint32_t failures = 0;
+  /// Life of the worker that the lists belong to.
+  std::int64_t born_at_ms = 0;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/store/store_endpoint.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace clementineloom::entry {
+
+/// @brief A topic of the platform's store. An immutable value.
+struct StoreEndpoint {
+  /// IP:PORT.
+  std::string address;
+  std::string topic;
+
+  friend auto operator<=>(const StoreEndpoint&, const StoreEndpoint&) = default;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/store/topic_follower.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "entry/port/call_port.h"
+#include "entry/port/life_guard.h"
+#include "entry/store/store_endpoint.h"
+#include "entry/store/topic_follower_options.h"
+#include "entry/store/topic_item.h"
+#include "logging/event_log.h"
+
+namespace clementineloom::entry {
+
+/// @brief Follows a compacted topic: loads the newest record of each key, then reads on.
+///
+/// Starts over when the records that it would read next have expired. The sink gets
+/// - OnReload(items) with the whole topic, after a load,
+/// - OnItems(items) with new records, in order; empty when a wait ended without one.
+/// Thread safety: none; use from the thread of the port, which has to outlive the follower.
+template <class Platform, CallPort Port>
+class TopicFollower {
+ public:
+  using Items = std::vector<TopicItem>;
+  struct Sink {
+    std::function<void(const Items&)> on_reload;
+    std::function<void(const Items&)> on_items;
+  };
+
+  TopicFollower(Port& port, StoreEndpoint endpoint, TopicFollowerOptions options, Sink sink)
+      : port_(port), endpoint_(std::move(endpoint)), options_(options), sink_(std::move(sink)) {}
+
+  /// @brief Begins to load. Call once.
+  void Start() { LoadPage({}); }
+
+  /// @brief Whether the whole topic was loaded once.
+  [[nodiscard]] bool is_loaded() const { return is_loaded_; }
+
+  /// @brief When the store last answered a read; the view holds all that was stored before the
+  /// read was sent.
+  [[nodiscard]] std::optional<workload::SteadyTime> last_read_at() const { return last_read_at_; }
+
+  /// @brief Offset of the next record to be read.
+  [[nodiscard]] std::uint64_t next_offset() const { return next_offset_; }
+
+  void set_options(TopicFollowerOptions options) { options_ = options; }
+
+  /// @brief Loads the whole topic again once the read in progress has ended.
+  void Reload() { must_reload_ = true; }
+
+ private:
+  static constexpr workload::Milliseconds kLoadTimeout{2'000};
+  // Beyond the store's own wait; a longer silence means a broken connection.
+  static constexpr workload::Milliseconds kReadSlack{1'200};
+  static constexpr workload::Milliseconds kFirstRetryDelay{100};
+  static constexpr workload::Milliseconds kMaxRetryDelay{800};
+
+  void LoadPage(const std::string& after_key) {
+    if (after_key.empty()) {
+      loaded_.clear();
+    }
+    port_.Call(endpoint_.address, Platform::NewestRequest(endpoint_.topic, after_key), kLoadTimeout,
+               life_.Wrap([this, after_key](const net::ClientResult& result) {
+                 OnPage(after_key, result);
+               }));
+  }
+
+  void OnPage(const std::string& after_key, const net::ClientResult& result) {
+    auto page = Platform::ParseNewest(result);
+    if (!page) {
+      Retry([this] { LoadPage({}); });
+      return;
+    }
+    NoteSuccess();
+    if (after_key.empty()) {
+      load_end_ = page->end_offset;
+    }
+    std::move(page->items.begin(), page->items.end(), std::back_inserter(loaded_));
+    if (page->has_more && !loaded_.empty()) {
+      LoadPage(loaded_.back().item.key);
+      return;
+    }
+    FinishLoad();
+  }
+
+  void FinishLoad() {
+    newer_.clear();
+    for (const TopicItem& it : loaded_) {
+      if (it.offset >= load_end_) {
+        newer_[it.item.key] = it.offset;
+      }
+    }
+    next_offset_ = load_end_;
+    is_loaded_ = true;
+    must_reload_ = false;
+    const auto alive = life_.watch();
+    sink_.on_reload(loaded_);
+    if (alive.expired()) {
+      return;
+    }
+    loaded_ = {};
+    Read();
+  }
+
+  void Read() {
+    if (must_reload_) {
+      LoadPage({});
+      return;
+    }
+    port_.Call(endpoint_.address,
+               Platform::ReadRequest(endpoint_.topic, next_offset_, options_.wait),
+               options_.wait + kReadSlack,
+               life_.Wrap([this](const net::ClientResult& result) { OnBatch(result); }));
+  }
+
+  void OnBatch(const net::ClientResult& result) {
+    if (Platform::HasExpired(result)) {
+      logging::LogEvent(logging::LogLevel::kInfo, "topic_records_expired",
+                        {{"topic", endpoint_.topic}, {"next_offset", next_offset_}});
+      LoadPage({});
+      return;
+    }
+    auto batch = Platform::ParseRead(result, next_offset_);
+    if (!batch) {
+      Retry([this] { Read(); });
+      return;
+    }
+    NoteSuccess();
+    const bool has_records = !batch->items.empty();
+    if (has_records) {
+      next_offset_ = batch->items.back().offset + 1;
+    }
+    DropOlder(batch->items);
+    const auto alive = life_.watch();
+    sink_.on_items(batch->items);
+    if (alive.expired()) {
+      return;
+    }
+    if (has_records && options_.pause.count() > 0) {
+      port_.After(options_.pause, life_.Wrap([this] { Read(); }));
+    } else {
+      Read();
+    }
+  }
+
+  // Pages are not a snapshot: a key that a later page gave newer must not fall back.
+  void DropOlder(Items& items) {
+    if (newer_.empty()) {
+      return;
+    }
+    std::erase_if(items, [this](const TopicItem& it) {
+      const auto newer = newer_.find(it.item.key);
+      return newer != newer_.end() && it.offset < newer->second;
+    });
+    std::erase_if(newer_, [this](const auto& it) { return it.second < next_offset_; });
+  }
+
+  void NoteSuccess() {
+    last_read_at_ = port_.Now();
+    if (failures_ > 0) {
+      logging::LogEvent(logging::LogLevel::kInfo, "topic_regained",
+                        {{"topic", endpoint_.topic}, {"failures", failures_}});
+    }
+    failures_ = 0;
+  }
+
+  void Retry(std::function<void()> again) {
+    if (failures_++ == 0) {
+      logging::LogEvent(logging::LogLevel::kWarning, "topic_lost", {{"topic", endpoint_.topic}});
+    }
+    const auto delay = kFirstRetryDelay * (1 << std::min<std::uint32_t>(failures_, 4U) >> 1);
+    port_.After(std::min<workload::Milliseconds>(delay, kMaxRetryDelay),
+                life_.Wrap(std::move(again)));
+  }
+
+  Port& port_;
+  const StoreEndpoint endpoint_;
+  TopicFollowerOptions options_;
+  const Sink sink_;
+  Items loaded_;
+  std::uint64_t load_end_ = 0;
+  // Keys that the load gave newer than the end that was noted before it.
+  std::map<std::string, std::uint64_t> newer_;
+  std::uint64_t next_offset_ = 0;
+  bool is_loaded_ = false;
+  bool must_reload_ = false;
+  std::uint32_t failures_ = 0;
+  std::optional<workload::SteadyTime> last_read_at_;
+  LifeGuard life_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/store/topic_follower_options.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "clementineloom/workload/steady_time.h"
+
+namespace clementineloom::entry {
+
+/// @brief Pace of a TopicFollower.
+struct TopicFollowerOptions {
+  /// Pause between an answer with records and the next read, so that records come in batches.
+  workload::Milliseconds pause{100};
+  /// Longest wait of the store for a record. Shorter than the time after which a follower takes a
+  /// silent connection for broken.
+  workload::Milliseconds wait{2'000};
+
+  friend auto operator<=>(const TopicFollowerOptions&, const TopicFollowerOptions&) = default;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/store/topic_page.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "entry/store/topic_item.h"
+
+namespace clementineloom::entry {
+
+/// @brief A page of the newest records of a topic's keys. An immutable value.
+struct TopicPage {
+  std::vector<TopicItem> items;
+  bool has_more = false;
+  /// Offset of the next record to be appended.
+  std::uint64_t end_offset = 0;
+
+  friend auto operator<=>(const TopicPage&, const TopicPage&) = default;
+};
+
+}  // namespace clementineloom::entry
--- a/src/logging/event_log.cc
+++ b/src/logging/event_log.cc
@@ -19,6 +19,9 @@
 // UTC with milliseconds, then the level; the event's own fields follow.
 constexpr const char* kPattern = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} level=%p %m%n";
 
+// Name under which standard output is chosen as the log file.
+constexpr std::string_view kStandardOutput = "-";
+
 log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -57,6 +60,10 @@
     return std::make_shared<log4cxx::ConsoleAppender>(layout,
                                                       log4cxx::ConsoleAppender::getSystemErr());
   }
+  if (file == kStandardOutput) {
+    return std::make_shared<log4cxx::ConsoleAppender>(layout,
+                                                      log4cxx::ConsoleAppender::getSystemOut());
+  }
   return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -12,7 +12,7 @@
 
 /// @brief Sets level and destination of the process's log. Call once, before other threads start.
 /// @param level "debug", "info", "warning" or "error"
-/// @param file path, or empty for standard error
+/// @param file path, "-" for standard output, or empty for standard error
 /// Errors: kInvalidValue (level), kFileUnreadable (the file cannot be opened).
 [[nodiscard]] Result<void> ConfigureLog(const std::string& level, const std::string& file);
 
--- a/src/net/detail/beast_conversion.cc
+++ b/src/net/detail/beast_conversion.cc
@@ -60,8 +60,9 @@
 }  // namespace
 
 HttpRequest FromBeast(BeastRequest message) {
+  const std::string host(message[http::field::host]);
   return HttpRequest{std::string(message.method_string()), std::string(message.target()),
-                     CopyHeaders(message), std::move(message.body())};
+                     CopyHeaders(message), std::move(message.body()), host};
 }
 
 HttpResponse FromBeast(BeastResponse message) {
--- a/src/net/http_request.h
+++ b/src/net/http_request.h
@@ -12,6 +12,8 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  /// Host that the caller named; empty in requests that are sent, which name the address.
+  std::string host = {};
 
   friend auto operator<=>(const HttpRequest&, const HttpRequest&) = default;
 };
--- a/src/process/stop_signals.cc
+++ b/src/process/stop_signals.cc
@@ -13,6 +13,18 @@
   return signals;
 }
 
+sigset_t ControlSignals() {
+  sigset_t signals = StopSignals();
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+int WaitFor(const sigset_t& signals) {
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return signal;
+}
+
 }  // namespace
 
 void BlockStopSignals() {
@@ -20,11 +32,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-int WaitForStopSignal() {
-  const sigset_t signals = StopSignals();
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return signal;
+int WaitForStopSignal() { return WaitFor(StopSignals()); }
+
+void BlockControlSignals() {
+  const sigset_t signals = ControlSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+int WaitForControlSignal() { return WaitFor(ControlSignals()); }
+
 }  // namespace clementineloom::process
--- a/src/process/stop_signals.h
+++ b/src/process/stop_signals.h
@@ -10,4 +10,12 @@
 /// @return the number of the signal
 int WaitForStopSignal();
 
+/// @brief The same for SIGHUP besides, which a process that ignores it does not survive.
+/// Precondition: no other thread runs yet.
+void BlockControlSignals();
+
+/// @brief Waits for SIGINT, SIGTERM or SIGHUP. Precondition: BlockControlSignals was called.
+/// @return the number of the signal
+int WaitForControlSignal();
+
 }  // namespace clementineloom::process
--- a/src/settings/check_daemon_settings.cc
+++ b/src/settings/check_daemon_settings.cc
@@ -65,6 +65,11 @@
                                {"instance_list", settings.common.instance_list}});
 }
 
+void CheckAddresses(ObjectCheck& check, const EntrySettings& settings) {
+  CheckAddressesDiffer(
+      check, {{"listen", settings.listen}, {"ready", settings.ready}, {"store", settings.store}});
+}
+
 template <class S>
 Checked<S> Check(const std::string& file, const std::vector<SettingsField<S>>& fields) {
   Checked<Document> document = ReadDocument(file);
@@ -99,4 +104,21 @@
   return Check(file, SchedulerFields());
 }
 
+Checked<EntrySettings> CheckEntrySettings(const std::string& file) {
+  Checked<Document> document = ReadDocument(file);
+  Checked<EntrySettings> checked;
+  checked.problems = std::move(document.problems);
+  const json::object& root = document.value.root.get_object();
+  if (!checked.problems.empty() && root.empty()) {
+    return checked;
+  }
+  ObjectCheck check(document.value, "", root, checked.problems);
+  check.Run(SpecsOf(EntryFields()));
+  if (checked.problems.empty()) {
+    AssignFields(EntryFields(), root, checked.value);
+    CheckAddresses(check, checked.value);
+  }
+  return checked;
+}
+
 }  // namespace clementineloom::settings
--- a/src/settings/daemon_fields.cc
+++ b/src/settings/daemon_fields.cc
@@ -109,4 +109,33 @@
   return fields;
 }
 
+const std::vector<SettingsField<EntrySettings>>& EntryFields() {
+  using S = EntrySettings;
+  static const std::vector<SettingsField<S>> fields{
+      {Required("instance", ValueKind::kName, "name of this entry instance"), &S::instance},
+      {Required("region", ValueKind::kName, "region that it runs in"), &S::region},
+      {Required("data_centre", ValueKind::kName, "data centre that it runs in"), &S::data_centre},
+      {Required("listen", ValueKind::kListenAddress, "address for callers"), &S::listen},
+      {Required("ready", ValueKind::kListenAddress, "address of the readiness check"), &S::ready},
+      {Required("store", ValueKind::kAddress, "the platform's store"), &S::store},
+      {Optional("advice", ValueKind::kText, "the advice service; empty where there is none"),
+       &S::advice},
+      {Optional("log_level", ValueKind::kLogLevel, "lowest severity that is logged"),
+       &S::log_level},
+      {Number("drain_timeout_ms", "ms", 0, kHourMs,
+              "time for requests in progress to finish on SIGTERM"),
+       &S::drain_timeout_ms},
+      {Number("max_lease_ms", "ms", 2'000, kHourMs, "longest lease that workers grant"),
+       &S::max_lease_ms},
+      {Number("stop_timeout_ms", "ms", 1, kMinuteMs, "longest time that a worker takes to stop"),
+       &S::stop_timeout_ms},
+      {Number("gang_timeout_ms", "ms", 100, kMinuteMs,
+              "time that the members of a gang wait for each other"),
+       &S::gang_timeout_ms},
+      {Number("state_retention_s", "s", 1, 24 * kHourMs / 1'000,
+              "time for which the state of an ended job is kept"),
+       &S::state_retention_s}};
+  return fields;
+}
+
 }  // namespace clementineloom::settings
--- a/src/settings/daemon_fields.h
+++ b/src/settings/daemon_fields.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "settings/common_settings.h"
+#include "settings/entry_settings.h"
 #include "settings/gateway_settings.h"
 #include "settings/scheduler_settings.h"
 #include "settings/settings_field.h"
@@ -18,4 +19,7 @@
 /// @brief Keys of loom-scheduler besides the common ones.
 [[nodiscard]] const std::vector<SettingsField<SchedulerSettings>>& SchedulerFields();
 
+/// @brief Keys of loom-entry, which shares none with the other daemons' files.
+[[nodiscard]] const std::vector<SettingsField<EntrySettings>>& EntryFields();
+
 }  // namespace clementineloom::settings
--- a/src/settings/load_settings.cc
+++ b/src/settings/load_settings.cc
@@ -27,6 +27,10 @@
   return ValueOf(CheckSchedulerSettings(file));
 }
 
+Result<EntrySettings> LoadEntrySettings(const std::string& file) {
+  return ValueOf(CheckEntrySettings(file));
+}
+
 Result<ClusterDocument> LoadClusterDocument(const std::string& file) {
   return ValueOf(CheckClusterDocument(file));
 }
--- /dev/null
+++ b/src/workload/owner_election.cc
@@ -0,0 +1,42 @@
+#include "clementineloom/workload/owner_election.h"
+
+#include <cassert>
+#include <utility>
+
+namespace clementineloom::workload {
+
+OwnerElection::OwnerElection(std::string instance, double rank)
+    : instance_(std::move(instance)),
+      delay_(static_cast<std::int64_t>(rank * static_cast<double>(kSpread.count()))) {
+  assert(rank >= 0 && rank <= 1);
+}
+
+void OwnerElection::OnOwner(const OwnerRecord& owner, SteadyTime now) {
+  if (!owner_ || owner.epoch >= owner_->epoch) {
+    owner_ = owner;
+    last_sign_ = now;
+  }
+}
+
+void OwnerElection::OnRead(SteadyTime now) {
+  if (!last_read_ || now - *last_read_ > kReadGap) {
+    last_sign_ = now;
+  }
+  last_read_ = now;
+}
+
+bool OwnerElection::MayClaim(SteadyTime now) const {
+  if (!last_read_ || now - *last_read_ > kReadGap) {
+    return false;
+  }
+  const bool is_free = !owner_ || owner_->phase == OwnerPhase::kResigned;
+  const Milliseconds silence = is_free ? Milliseconds(0) : kSilence;
+  return now >= last_sign_ + silence + delay_;
+}
+
+std::uint64_t OwnerElection::NextEpoch(std::uint64_t nonce) const {
+  const std::uint64_t last = owner_ ? owner_->epoch : 0;
+  return (last / kNonceRange + 1) * kNonceRange + nonce % kNonceRange;
+}
+
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/src/workload/run_outcome.cc
@@ -0,0 +1,123 @@
+#include "clementineloom/workload/run_outcome.h"
+
+#include <cstdint>
+#include <utility>
+
+namespace clementineloom::workload {
+namespace {
+
+// The records of a job's tasks are needed no more once the job has ended.
+void DropTasks(const std::string& id, const JobEntry& job, std::vector<WorkloadRecord>& records) {
+  for (const auto& [place, row] : job.tasks) {
+    for (std::uint32_t index = 0; index < row.size(); ++index) {
+      if (row[index] != TaskRecord{}) {
+        records.push_back(TaskSet{{{id, place.first, place.second}, index}, std::nullopt});
+      }
+    }
+  }
+}
+
+void EndJob(const std::string& id, const JobEntry& job, JobState state, RunOutcome& outcome) {
+  outcome.ended_job = state;
+  outcome.records.clear();
+  outcome.records.push_back(JobEndSet{id, state});
+  DropTasks(id, job, outcome.records);
+}
+
+std::uint32_t FailuresOf(const JobEntry& job, const TaskId& task, const StepSpec& spec) {
+  if (!spec.is_gang) {
+    return job.Task(task).failures;
+  }
+  std::uint32_t sum = 0;
+  for (std::uint32_t index = 0; index < spec.task_count; ++index) {
+    sum += job.Task({task.step, index}).failures;
+  }
+  return sum;
+}
+
+// Whether every task is done but those of one step from first to last - 1.
+bool IsRestDone(const JobEntry& job, const StepId& step, std::uint32_t first, std::uint32_t last) {
+  const JobSubmission& submission = *job.submission;
+  for (std::uint32_t occurrence = 0; occurrence < submission.RunCount(); ++occurrence) {
+    for (std::uint32_t it = 0; it < submission.steps.size(); ++it) {
+      const bool is_same_step = occurrence == step.occurrence && it == step.step;
+      if (!is_same_step && !job.IsStepDone(occurrence, it)) {
+        return false;
+      }
+    }
+  }
+  for (std::uint32_t index = 0; index < submission.steps[step.step].task_count; ++index) {
+    const bool is_ending = index >= first && index < last;
+    if (!is_ending && job.Task({step, index}).phase != TaskPhase::kDone) {
+      return false;
+    }
+  }
+  return true;
+}
+
+RunOutcome Done(const JobEntry& job, const TaskRun& run, const StepSpec& spec) {
+  RunOutcome outcome;
+  // One member's end stands for the whole gang.
+  const std::uint32_t first = spec.is_gang ? 0 : run.task.index;
+  const std::uint32_t last = spec.is_gang ? spec.task_count : run.task.index + 1;
+  if (IsRestDone(job, run.task.step, first, last)) {
+    EndJob(run.task.step.job, job, JobState::kCompleted, outcome);
+    return outcome;
+  }
+  for (std::uint32_t index = first; index < last; ++index) {
+    const TaskId task{run.task.step, index};
+    TaskRecord record = job.Task(task);
+    record.phase = TaskPhase::kDone;
+    record.checkpoint.clear();
+    outcome.records.push_back(TaskSet{task, std::move(record)});
+  }
+  return outcome;
+}
+
+RunOutcome RunAgain(const JobEntry& job, const TaskRun& run, const StepSpec& spec, EndReason reason,
+                    const std::string& checkpoint) {
+  RunOutcome outcome;
+  TaskRecord record = job.Task(run.task);
+  record.phase = TaskPhase::kWaiting;
+  if (!checkpoint.empty()) {
+    record.checkpoint = checkpoint;
+  }
+  if (reason == EndReason::kFailed) {
+    ++record.failures;
+  }
+  outcome.breaks_gang = spec.is_gang;
+  const std::uint32_t failures =
+      FailuresOf(job, run.task, spec) + (reason == EndReason::kFailed ? 1 : 0);
+  outcome.records.push_back(TaskSet{run.task, std::move(record)});
+  if (reason == EndReason::kFailed && !spec.runs_until_cancelled &&
+      failures >= job.submission->queue.max_attempts) {
+    EndJob(run.task.step.job, job, JobState::kFailed, outcome);
+  }
+  return outcome;
+}
+
+}  // namespace
+
+RunOutcome OutcomeOf(const JobTable& jobs, const std::string& worker, const TaskRun& run,
+                     EndReason reason, const std::string& checkpoint) {
+  const JobEntry* job = jobs.Find(run.task.step.job);
+  if (job == nullptr || !job->submission || run.task.step.step >= job->submission->steps.size()) {
+    return {};
+  }
+  const TaskRecord& record = job->Task(run.task);
+  if (record.phase != TaskPhase::kPlaced || record.run != run.run || record.worker != worker) {
+    return {};
+  }
+  if (job->is_cancelled || job->end) {
+    RunOutcome outcome;
+    outcome.records.push_back(TaskSet{run.task, std::nullopt});
+    return outcome;
+  }
+  const StepSpec& spec = job->submission->steps[run.task.step.step];
+  if (reason == EndReason::kDone && !spec.runs_until_cancelled) {
+    return Done(*job, run, spec);
+  }
+  return RunAgain(*job, run, spec, reason, checkpoint);
+}
+
+}  // namespace clementineloom::workload
