Take room back for priority 0, and let leases of silent workers end

An owner without the store now goes on only while it reaches most workers, so that a new owner that reaches most of them need wait for 10 s only (OwnerContact). - Claims were repeated ten times a second while the store refused them. Ruled out: a lost end (the worker lists none), a wrong epoch.

--- a/include/clementineloom/workload/detail/room_choice.h
+++ b/include/clementineloom/workload/detail/room_choice.h
@@ -23,6 +23,10 @@
 /// @brief Whether one more task of a step fits into a worker's room.
 [[nodiscard]] bool HasRoom(const WorkerRoom& room, const StartCandidate& step);
 
+/// @brief Whether the filter lets a step use a worker, whatever room is free there.
+[[nodiscard]] bool IsAllowed(const WorkerRoom& room, const StartCandidate& step,
+                             const RoomFilter& filter);
+
 /// @brief The best worker for one more task of a step, or null.
 [[nodiscard]] WorkerRoom* ChooseRoom(std::vector<WorkerRoom>& rooms, const StartCandidate& step,
                                      const RoomFilter& filter);
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "clementineloom/workload/pool_worker.h"
 #include "clementineloom/workload/step_id.h"
@@ -12,9 +14,14 @@
 /// @brief A worker's room while a plan is being made.
 struct WorkerRoom {
   const PoolWorker* worker = nullptr;
+  /// Room that can be taken now. Negative where waiting tasks have a claim on more than is free.
   Resources free;
+  /// Room once the runs that are being stopped have ended, less all claims on it.
+  Resources free_later;
   /// Tasks of steps that this plan has placed here, beside those in worker->runs.
   std::map<StepId, std::uint32_t> planned;
+  /// Runs that this plan stops.
+  std::vector<TaskRun> stopped;
   /// Whether tasks run or are planned here that serve users or that fill idle processors.
   bool has_service_tasks = false;
   bool has_fill_tasks = false;
@@ -24,8 +31,14 @@
     return worker->CountOf(step) + (it == planned.end() ? 0 : it->second);
   }
 
+  [[nodiscard]] bool IsStopped(const TaskRun& run) const {
+    return std::find(stopped.begin(), stopped.end(), run) != stopped.end();
+  }
+
+  /// @brief Takes room for a task that starts now, or that starts here once there is room.
   void Take(const StepId& step, const StepSpec& spec) {
     free = free - spec.Reserved();
+    free_later = free_later - spec.Reserved();
     ++planned[step];
     has_service_tasks = has_service_tasks || spec.tail_target_ms > 0;
     has_fill_tasks = has_fill_tasks || spec.fills_idle_cpu;
--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -24,6 +24,8 @@
   /// A longer gap between two reads counts as an outage.
   static constexpr Milliseconds kReadGap{2'600};
 
+  static constexpr Milliseconds kClaimPause{400};
+
   /// @param rank 0 to 1; the share of kSpread that this instance waits
   OwnerElection(std::string instance, double rank);
 
@@ -33,6 +35,12 @@
   /// @brief Notes that the stream was read.
   void OnRead(SteadyTime now);
 
+  /// @brief Notes that the stream could not be read; nothing is claimed until it is read again.
+  void OnReadFailed();
+
+  /// @brief Notes that a claim did not succeed; the next one waits for kClaimPause.
+  void OnClaimFailed(SteadyTime now);
+
   /// @brief Whether to claim the ownership now. False before the first read.
   [[nodiscard]] bool MayClaim(SteadyTime now) const;
 
@@ -52,6 +60,8 @@
   std::optional<SteadyTime> last_read_;
   // Last sign of the owner, or the end of the last outage.
   SteadyTime last_sign_;
+  bool is_readable_ = false;
+  SteadyTime may_claim_from_;
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -6,12 +6,14 @@
 
 #include "clementineloom/workload/advice_question.h"
 #include "clementineloom/workload/planned_start.h"
+#include "clementineloom/workload/preemption.h"
 
 namespace clementineloom::workload {
 
 /// @brief What one planning pass decided. An immutable value.
 struct StartPlan {
   std::vector<PlannedStart> starts;
+  std::vector<Preemption> preemptions;
   /// Question for the most urgent step that lacks approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -48,10 +48,12 @@
         jobs_topic_{settings_.store, Platform::kJobsTopic},
         operator_follower_(port, {settings_.store, Platform::kOperatorTopic}, OperatorPace(),
                            {[this](const auto& items) { OnOperatorReload(items); },
-                            [this](const auto& items) { OnOperatorItems(items); }}),
+                            [this](const auto& items) { OnOperatorItems(items); },
+                            {}}),
         jobs_follower_(port, jobs_topic_, FollowerPace(),
                        {[this](const auto& items) { OnJobsReload(items); },
-                        [this](const auto& items) { OnJobItems(items); }}),
+                        [this](const auto& items) { OnJobItems(items); },
+                        [this] { election_.OnReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
         front_(port, jobs_, operators_, appender_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
@@ -244,6 +246,7 @@
       // speaks again: this instance claims a higher epoch after the usual silence.
       logging::LogEvent(logging::LogLevel::kInfo, "claim_failed",
                         {{"epoch", epoch_}, {"status", static_cast<int>(answer.status)}});
+      election_.OnClaimFailed(port_.Now());
       return;
     }
     if (is_stopping_) {
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -13,6 +13,7 @@
 
 #include "clementineloom/workload/advice_book.h"
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/owner_contact.h"
 #include "clementineloom/workload/owner_election.h"
 #include "clementineloom/workload/run_outcome.h"
 #include "clementineloom/workload/task_planner.h"
@@ -47,9 +48,6 @@
 template <class Platform, CallPort Port>
 class Owner {
  public:
-  /// Longest time without an acknowledged append for which leases are still renewed.
-  static constexpr workload::Milliseconds kMaxUnconfirmed{12'000};
-
   Owner(Port& port, workload::JobTable& jobs, const OperatorView& operators,
         std::unique_ptr<Appender<Platform, Port>> appender, OwnerOptions options,
         std::function<void()> on_lost)
@@ -208,8 +206,7 @@
 
   void Tick() {
     const auto now = port_.Now();
-    if (now - confirmed_at_ > kMaxUnconfirmed) {
-      Lose("the store has not confirmed the epoch");
+    if (!CheckContact(now)) {
       return;
     }
     if (!is_resigning_ && now - last_beat_at_ >= workload::OwnerElection::kBeatInterval &&
@@ -226,6 +223,43 @@
     port_.After(kTick, Guard([this] { Tick(); }));
   }
 
+  // Returns whether this owner may go on.
+  bool CheckContact(workload::SteadyTime now) {
+    std::size_t listed = 0;
+    std::size_t reached = 0;
+    for (const auto& [id, worker] : workers_) {
+      const WorkerLink& link = links_[id];
+      listed += worker.info.address.empty() ? 0 : 1;
+      reached += now - link.answered_at <= workload::OwnerContact::kWindow ? 1 : 0;
+    }
+    if (!majority_at_ && listed > 0 && 2 * reached > listed) {
+      majority_at_ = now;
+    }
+    const auto unconfirmed =
+        std::chrono::duration_cast<workload::Milliseconds>(now - confirmed_at_);
+    if (!workload::OwnerContact::MayGoOn(unconfirmed, reached, listed)) {
+      Lose("the store has not confirmed the epoch");
+      return false;
+    }
+    must_reach_all_ = unconfirmed > workload::OwnerContact::kGrace;
+    if (must_reach_all_) {
+      PollIdle(now);
+    }
+    return true;
+  }
+
+  void PollIdle(workload::SteadyTime now) {
+    std::vector<std::string> idle;
+    for (const auto& [id, worker] : workers_) {
+      if (worker.runs.empty() && now - links_[id].answered_at > kIdlePollInterval) {
+        idle.push_back(id);
+      }
+    }
+    for (const std::string& it : idle) {
+      Poll(it);
+    }
+  }
+
   // --- Placement.
 
   void PlanSoon() {
@@ -254,11 +288,24 @@
     if (plan.question && !is_asking_) {
       Ask(*plan.question);
     }
+    for (const workload::Preemption& it : plan.preemptions) {
+      Preempt(it);
+    }
     if (!plan.starts.empty()) {
       RecordStarts(std::move(plan.starts));
     }
   }
 
+  void Preempt(const workload::Preemption& preemption) {
+    logging::LogEvent(logging::LogLevel::kInfo, "run_preempted",
+                      {{"task", codec::TaskName(preemption.run.task)},
+                       {"run", preemption.run.run},
+                       {"worker", preemption.worker},
+                       {"for", codec::TaskName(preemption.beneficiary)}});
+    OrderStop(preemption.worker, preemption.run);
+    BreakGang(preemption.run);
+  }
+
   void RecordStarts(std::vector<workload::PlannedStart> starts) {
     Records records;
     for (const workload::PlannedStart& it : starts) {
@@ -394,7 +441,13 @@
   void RetryStart(const workload::PlannedStart& start) {
     port_.After(kOrderRetryDelay, Guard([this, start] {
                   const workload::PlacedRun* run = FindRun(start.worker, start.run.run);
-                  if (run != nullptr && run->stage == workload::RunStage::kStarting) {
+                  if (run == nullptr || run->stage != workload::RunStage::kStarting) {
+                    return;
+                  }
+                  // An order grants a lease, which a silent worker must not get.
+                  if (links_[start.worker].failures > 0) {
+                    RetryStart(start);
+                  } else {
                     OrderStart(start);
                   }
                 }));
@@ -485,14 +538,17 @@
     }
     const bool is_idle = it->second.is_attached && it->second.runs.empty();
     const bool has_ends_to_acknowledge = link.acknowledged_end > last_sent_ack_[id];
-    if (is_idle && !has_ends_to_acknowledge) {
+    if (is_idle && !has_ends_to_acknowledge && !must_reach_all_) {
       return;
     }
     link.is_polling = true;
     RenewOrder order;
     order.fencing_token = options_.epoch;
     order.acknowledged_end = link.acknowledged_end;
-    order.lease_until_ms = link.lease.Grant(options_.lease, port_.Now());
+    // A worker that does not answer gets no longer lease, so that its runs surely end some time.
+    if (link.failures == 0) {
+      order.lease_until_ms = link.lease.Grant(options_.lease, port_.Now());
+    }
     order.wait_ms = order.lease_until_ms && !is_idle ? kPollWait.count() : 0;
     const auto sent_at = port_.Now();
     const workload::WorkerInfo& info = it->second.info;
@@ -528,6 +584,7 @@
       return;
     }
     link.failures = 0;
+    link.answered_at = port_.Now();
     last_sent_ack_[id] = std::max(last_sent_ack_[id], ack);
     link.lease.OnClock(lists->clock_ms, port_.Now());
     const std::int64_t born = lists->born_at_ms.value_or(it->second.info.born_at_ms);
@@ -644,12 +701,13 @@
   }
 
   void ExpireLeases(workload::SteadyTime now) {
+    const auto adopted_leases_end =
+        workload::OwnerContact::EarlierOwnersEndedAt(took_over_at_, majority_at_) + options_.lease +
+        kAdoptedSlack;
     std::vector<std::string> expired;
     for (const auto& [id, worker] : workers_) {
       const auto ended_at = links_[id].lease.SurelyEndedAt();
-      const bool is_over =
-          ended_at ? now > *ended_at
-                   : now > took_over_at_ + kMaxUnconfirmed + options_.lease + kAdoptedSlack;
+      const bool is_over = ended_at ? now > *ended_at : now > adopted_leases_end;
       if (is_over && !worker.runs.empty()) {
         expired.push_back(id);
       }
@@ -804,7 +862,8 @@
   static constexpr std::uint32_t kUrgentPolls = 30;
   static constexpr workload::Milliseconds kAdviceTimeout{2'000};
   // For orders of the earlier owner that were on their way, and for a slow worker clock.
-  static constexpr workload::Milliseconds kAdoptedSlack{1'000};
+  static constexpr workload::Milliseconds kAdoptedSlack{700};
+  static constexpr workload::Milliseconds kIdlePollInterval{1'000};
   static constexpr workload::Milliseconds kRetentionSlack{30'000};
 
   Port& port_;
@@ -824,6 +883,10 @@
   workload::AdviceBook advice_;
   std::set<std::string> stopped_jobs_;
   std::map<std::string, workload::SteadyTime> ended_since_;
+  // When more than half of the workers had answered.
+  std::optional<workload::SteadyTime> majority_at_;
+  // Whether workers without runs are called too, to meet a new owner there.
+  bool must_reach_all_ = false;
   bool is_plan_due_ = false;
   bool is_asking_ = false;
   bool is_resigning_ = false;
--- a/src/entry/owner/worker_directory.h
+++ b/src/entry/owner/worker_directory.h
@@ -29,7 +29,8 @@
       : sink_(std::move(sink)),
         follower_(port, std::move(endpoint), Pace(),
                   {[this](const auto& items) { OnReload(items); },
-                   [this](const auto& items) { OnItems(items); }}) {}
+                   [this](const auto& items) { OnItems(items); },
+                   {}}) {}
 
   void Start() { follower_.Start(); }
 
--- a/src/entry/owner/worker_link.h
+++ b/src/entry/owner/worker_link.h
@@ -16,6 +16,8 @@
   bool is_recording_ends = false;
   /// Ends up to this number are recorded.
   std::uint64_t acknowledged_end = 0;
+  /// When the worker last answered a call for its lists.
+  workload::SteadyTime answered_at;
   /// Calls in a row without an answer.
   std::uint32_t failures = 0;
   /// Life of the worker that the lists belong to.
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -32,6 +32,8 @@
   struct Sink {
     std::function<void(const Items&)> on_reload;
     std::function<void(const Items&)> on_items;
+    /// A read or a load failed and will be tried again; may be empty.
+    std::function<void()> on_failure;
   };
 
   TopicFollower(Port& port, StoreEndpoint endpoint, TopicFollowerOptions options, Sink sink)
@@ -175,6 +177,9 @@
     if (failures_++ == 0) {
       logging::LogEvent(logging::LogLevel::kWarning, "topic_lost", {{"topic", endpoint_.topic}});
     }
+    if (sink_.on_failure) {
+      sink_.on_failure();
+    }
     const auto delay = kFirstRetryDelay * (1 << std::min<std::uint32_t>(failures_, 4U) >> 1);
     port_.After(std::min<workload::Milliseconds>(delay, kMaxRetryDelay),
                 life_.Wrap(std::move(again)));
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -13,15 +13,6 @@
   return {disturbs, room.free.accelerators, room.free.cpu_millicores};
 }
 
-bool IsAllowed(const WorkerRoom& room, const StartCandidate& step, const RoomFilter& filter) {
-  const WorkerInfo& worker = room.worker->info;
-  if (!filter.rack.empty() && worker.rack != filter.rack) {
-    return false;
-  }
-  return !step.job->submission->queue.needs_advice ||
-         !filter.advice.Ticket(step.step, worker.id, filter.now).empty();
-}
-
 }  // namespace
 
 bool IsEligible(const PoolWorker& worker, const StartCandidate& step) {
@@ -36,6 +27,15 @@
          (spec.max_per_worker == 0 || room.CountOf(step.step) < spec.max_per_worker);
 }
 
+bool IsAllowed(const WorkerRoom& room, const StartCandidate& step, const RoomFilter& filter) {
+  const WorkerInfo& worker = room.worker->info;
+  if (!filter.rack.empty() && worker.rack != filter.rack) {
+    return false;
+  }
+  return !step.job->submission->queue.needs_advice ||
+         !filter.advice.Ticket(step.step, worker.id, filter.now).empty();
+}
+
 WorkerRoom* ChooseRoom(std::vector<WorkerRoom>& rooms, const StartCandidate& step,
                        const RoomFilter& filter) {
   WorkerRoom* best = nullptr;
--- /dev/null
+++ b/src/workload/detail/victim_search.cc
@@ -0,0 +1,98 @@
+#include "clementineloom/workload/detail/victim_search.h"
+
+#include <algorithm>
+
+namespace clementineloom::workload::detail {
+namespace {
+
+// Weight of an accelerator against a core in the price of lost work.
+constexpr std::int64_t kCoresPerAccelerator = 8;
+constexpr std::int64_t kMillicoresPerCore = 1'000;
+// A run that saves its progress loses about this much of it.
+constexpr Milliseconds kUnsavedWork{500};
+
+struct Victim {
+  const PlacedRun* run = nullptr;
+  std::int64_t cost = 0;
+};
+
+const StepSpec* SpecOf(const JobTable& jobs, const TaskRun& run) {
+  const JobEntry* job = jobs.Find(run.task.step.job);
+  const bool is_known =
+      job != nullptr && job->submission && run.task.step.step < job->submission->steps.size();
+  return is_known ? &job->submission->steps[run.task.step.step] : nullptr;
+}
+
+std::int64_t CostOf(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
+  auto lost = std::chrono::duration_cast<Milliseconds>(now - run.placed_at);
+  if (spec.saves_checkpoints) {
+    lost = std::min(lost, kUnsavedWork);
+  }
+  const std::int64_t cores = spec.per_task.cpu_millicores / kMillicoresPerCore +
+                             kCoresPerAccelerator * spec.per_task.accelerators;
+  const std::int64_t members = spec.is_gang ? spec.task_count : 1;
+  // Counts at least a moment, so that fewer victims are better.
+  return std::max<std::int64_t>(lost.count(), 1) * cores * members;
+}
+
+std::vector<Victim> VictimsOn(const WorkerRoom& room, const StartCandidate& step,
+                              const JobTable& jobs, SteadyTime now) {
+  std::vector<Victim> victims;
+  for (const auto& [id, run] : room.worker->runs) {
+    const bool is_ending = run.stage == RunStage::kStopping || room.IsStopped(id);
+    const StepSpec* spec = SpecOf(jobs, id);
+    if (is_ending || spec == nullptr || spec->runs_until_cancelled ||
+        run.priority <= step.priority()) {
+      continue;
+    }
+    victims.push_back({&run, CostOf(run, *spec, now)});
+  }
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+  return victims;
+}
+
+// Leaves out runs whose room is not needed after all, the dearest first.
+void DropNeedless(std::vector<Victim>& chosen, Resources room, const Resources& needed) {
+  for (auto it = chosen.end(); it != chosen.begin();) {
+    --it;
+    const Resources without = room - it->run->reserved;
+    if (needed.FitsIn(without)) {
+      room = without;
+      it = chosen.erase(it);
+    }
+  }
+}
+
+}  // namespace
+
+std::optional<VictimSet> FindVictims(const WorkerRoom& room, const StartCandidate& step,
+                                     const JobTable& jobs, SteadyTime now) {
+  const StepSpec& spec = step.spec();
+  const Resources needed = spec.Reserved();
+  if (!needed.FitsIn(room.worker->info.capacity) ||
+      (spec.max_per_worker > 0 && room.CountOf(step.step) >= spec.max_per_worker)) {
+    return std::nullopt;
+  }
+  Resources freed = room.free_later;
+  std::vector<Victim> chosen;
+  for (const Victim& it : VictimsOn(room, step, jobs, now)) {
+    if (needed.FitsIn(freed)) {
+      break;
+    }
+    freed = freed + it.run->reserved;
+    chosen.push_back(it);
+  }
+  if (!needed.FitsIn(freed)) {
+    return std::nullopt;
+  }
+  DropNeedless(chosen, freed, needed);
+  VictimSet victims;
+  for (const Victim& it : chosen) {
+    victims.runs.push_back(it.run->run);
+    victims.cost += it.cost;
+  }
+  return victims;
+}
+
+}  // namespace clementineloom::workload::detail
--- a/src/workload/owner_election.cc
+++ b/src/workload/owner_election.cc
@@ -23,10 +23,15 @@
     last_sign_ = now;
   }
   last_read_ = now;
+  is_readable_ = true;
 }
 
+void OwnerElection::OnReadFailed() { is_readable_ = false; }
+
+void OwnerElection::OnClaimFailed(SteadyTime now) { may_claim_from_ = now + kClaimPause; }
+
 bool OwnerElection::MayClaim(SteadyTime now) const {
-  if (!last_read_ || now - *last_read_ > kReadGap) {
+  if (!is_readable_ || now - *last_read_ > kReadGap || now < may_claim_from_) {
     return false;
   }
   const bool is_free = !owner_ || owner_->phase == OwnerPhase::kResigned;
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/start_candidates.h"
+#include "clementineloom/workload/detail/victim_search.h"
 
 namespace clementineloom::workload {
 namespace {
@@ -20,6 +22,10 @@
 // Shortest wait for a place near the data or on one rack; the longer wait is the estimate of the
 // task, because away from there it takes a multiple of that.
 constexpr std::int64_t kMinWaitForRackMs = 500;
+// Queues of this priority may stop the runs of others.
+constexpr std::uint32_t kPreemptingPriority = 0;
+// Longest wait of such a queue for a rack, a fraction of the time in which it has to begin.
+constexpr std::int64_t kMaxUrgentWaitMs = 700;
 // Workers named in a question: enough to find room, and each costs the service time.
 constexpr std::size_t kWorkersInQuestion = 30;
 
@@ -42,6 +48,9 @@
       PlaceTasks(step);
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
+    if (!is_whole && step.priority() == kPreemptingPriority) {
+      MakeRoom(step, plan_.starts.size() - before);
+    }
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
       AskAbout(step);
     }
@@ -51,8 +60,14 @@
 
  private:
   static WorkerRoom RoomOf(const PoolWorker& worker) {
-    WorkerRoom room{&worker, worker.Free(), {}};
+    WorkerRoom room;
+    room.worker = &worker;
+    room.free = worker.Free();
+    room.free_later = room.free;
     for (const auto& [run, placed] : worker.runs) {
+      if (placed.stage == RunStage::kStopping) {
+        room.free_later = room.free_later + placed.reserved;
+      }
       room.has_service_tasks = room.has_service_tasks || placed.tail_target_ms > 0;
       room.has_fill_tasks = room.has_fill_tasks || placed.fills_idle_cpu;
     }
@@ -86,7 +101,9 @@
   }
 
   bool IsWorthWaiting(const StartCandidate& step) const {
-    const std::int64_t wait_ms = std::max(kMinWaitForRackMs, step.spec().estimate_ms);
+    const std::int64_t wait_ms = step.priority() == kPreemptingPriority
+                                     ? kMaxUrgentWaitMs
+                                     : std::max(kMinWaitForRackMs, step.spec().estimate_ms);
     return request_.unix_now_ms < step.due_at_ms + wait_ms;
   }
 
@@ -125,11 +142,16 @@
     PlaceGangOn(step, {});
   }
 
-  bool PlaceGangOnAnyRack(const StartCandidate& step) {
+  std::set<std::string> Racks() const {
     std::set<std::string> racks;
     for (const WorkerRoom& it : rooms_) {
       racks.insert(it.worker->info.rack);
     }
+    return racks;
+  }
+
+  bool PlaceGangOnAnyRack(const StartCandidate& step) {
+    const std::set<std::string> racks = Racks();
     return std::any_of(racks.begin(), racks.end(),
                        [&](const std::string& it) { return PlaceGangOn(step, it); });
   }
@@ -172,6 +194,80 @@
     return last + 1;
   }
 
+  // Claims room for the tasks of a step that found none, and stops less urgent runs for it.
+  void MakeRoom(const StartCandidate& step, std::size_t placed) {
+    if (step.spec().prefers_one_rack) {
+      MakeRoomOnOneRack(step);
+      return;
+    }
+    for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
+      if (!Claim(rooms_, step, step.task_indexes[n], {}, plan_.preemptions)) {
+        return;
+      }
+    }
+  }
+
+  void MakeRoomOnOneRack(const StartCandidate& step) {
+    std::optional<RackClaim> best;
+    for (const std::string& rack : Racks()) {
+      RackClaim claim{rooms_, {}, 0};
+      if (ClaimAll(step, rack, claim) && (!best || claim.cost < best->cost)) {
+        best = std::move(claim);
+      }
+    }
+    if (best) {
+      rooms_ = std::move(best->rooms);
+      std::move(best->preemptions.begin(), best->preemptions.end(),
+                std::back_inserter(plan_.preemptions));
+    }
+  }
+
+  struct RackClaim {
+    std::vector<WorkerRoom> rooms;
+    std::vector<Preemption> preemptions;
+    std::int64_t cost = 0;
+  };
+
+  bool ClaimAll(const StartCandidate& step, const std::string& rack, RackClaim& claim) const {
+    for (const std::uint32_t index : step.task_indexes) {
+      const auto cost = Claim(claim.rooms, step, index, rack, claim.preemptions);
+      if (!cost) {
+        return false;
+      }
+      claim.cost += *cost;
+    }
+    return true;
+  }
+
+  // Claims the room for one task where the least work is lost. Returns that work, or nothing.
+  std::optional<std::int64_t> Claim(std::vector<WorkerRoom>& rooms, const StartCandidate& step,
+                                    std::uint32_t index, const std::string& rack,
+                                    std::vector<Preemption>& preemptions) const {
+    WorkerRoom* best = nullptr;
+    detail::VictimSet best_victims;
+    for (WorkerRoom& it : rooms) {
+      if (!IsAllowed(it, step, OnRack(rack)) || !IsEligible(*it.worker, step)) {
+        continue;
+      }
+      auto victims = detail::FindVictims(it, step, request_.jobs, request_.now);
+      if (victims && (best == nullptr || victims->cost < best_victims.cost)) {
+        best = &it;
+        best_victims = std::move(*victims);
+      }
+    }
+    if (best == nullptr) {
+      return std::nullopt;
+    }
+    for (const TaskRun& it : best_victims.runs) {
+      const Resources& freed = best->worker->runs.at(it).reserved;
+      best->free_later = best->free_later + freed;
+      best->stopped.push_back(it);
+      preemptions.push_back({best->worker->info.id, it, {step.step, index}});
+    }
+    best->Take(step.step, step.spec());
+    return best_victims.cost;
+  }
+
   void AskAbout(const StartCandidate& step) {
     AdviceQuestion question{step.step, {}};
     for (const WorkerRoom& it : rooms_) {
