--- /dev/null
+++ b/tests/entry/entry_cluster_test.cc
@@ -0,0 +1,298 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kTask = "00000000000000a1.0.0.0";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr const char* kFourTasks = R"([{"count":4,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr const char* kWholeWorker = R"([{"count":1,"cpu":8000,"memMb":10,"gpus":8}])";
+constexpr Milliseconds kRunTime{1'000};
+constexpr Milliseconds kLongRunTime{12'000};
+constexpr int kOk = 200;
+
+class EntryClusterTest : public testing::Test {
+ protected:
+  // The instance that owns the workers; fails the test where there is none.
+  static std::size_t Owner(const StandInCluster& cluster) {
+    const auto owner = cluster.OwnerIndex();
+    EXPECT_TRUE(owner.has_value());
+    return owner.value_or(0);
+  }
+  static std::size_t Other(std::size_t instance) { return instance == 0 ? 1 : 0; }
+};
+
+// Guards the whole path: accepted, placed, run, ended and shown on every instance.
+TEST_F(EntryClusterTest, Submit_OnQuietCluster_CompletesEverywhere) {
+  StandInCluster cluster(3, 2, kRunTime);
+  const auto answer = cluster.Submit(0, kJob, kFourTasks);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against a job that runs twice because its submission was repeated elsewhere.
+TEST_F(EntryClusterTest, Submit_RepeatedAtAnotherInstance_RunsOnce) {
+  StandInCluster cluster(3, 2, kRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  EXPECT_EQ(cluster.Submit(1, kJob, kOneTask)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+  EXPECT_EQ(cluster.Submit(2, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(2'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against an answer that says "not accepted" while the record was stored.
+TEST_F(EntryClusterTest, Submit_WhenStoreLosesAnswers_IsAcceptedOnce) {
+  StandInCluster cluster(2, 2, kRunTime);
+  const std::size_t front = Other(Owner(cluster));
+  cluster.store.LoseAppendAnswers(1);
+  const auto answer = cluster.Submit(front, kJob, kOneTask);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_TRUE(answer->status == kOk || answer->status == 504) << answer->status;
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(5'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against a refusal that is not true: what was refused must never start.
+TEST_F(EntryClusterTest, Submit_WhenStoreRefuses_IsRefusedAndNeverStarts) {
+  StandInCluster cluster(2, 2, kRunTime);
+  cluster.store.Refuse(true);
+  const auto answer = cluster.Submit(Other(Owner(cluster)), kJob, kOneTask);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 503);
+  cluster.store.Refuse(false);
+  cluster.RunFor(Milliseconds(6'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 0);
+}
+
+// Guards against an append without records, which the store does not number: the owner's next
+// append was refused, and ownership was lost.
+TEST_F(EntryClusterTest, Ends_ThatChangeNothing_KeepOwnership) {
+  StandInCluster cluster(2, 1, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  EXPECT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  EXPECT_EQ(cluster.Ask(owner, "DELETE", std::string("/urgent/") + kJob)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  EXPECT_EQ(cluster.Submit(owner, "00000000000000a2", kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(5'000));
+  EXPECT_EQ(cluster.OwnerIndex(), owner);
+}
+
+// Guards against tasks that are lost or run twice when the owner dies while they run.
+TEST_F(EntryClusterTest, Owner_KilledWhileTasksRun_IsReplacedAndTasksGoOn) {
+  StandInCluster cluster(3, 2, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  EXPECT_EQ(cluster.Submit(owner, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.RunningCount(), 4U);
+  cluster.Kill(owner);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(16'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against a start that was recorded, and not yet ordered, being forgotten with its owner.
+TEST_F(EntryClusterTest, Owner_KilledAfterRecordingAStart_TaskStartsAtTheNextOwner) {
+  StandInCluster cluster(3, 1, kRunTime);
+  const std::size_t owner = Owner(cluster);
+  cluster.port(owner).Cut(cluster.workers[0]->address());
+  EXPECT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(100));
+  cluster.Kill(owner);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(16'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against an owner without the store that goes on beside its successor.
+TEST_F(EntryClusterTest, Owner_CutFromTheStore_IsReplacedWithoutDoubleRuns) {
+  StandInCluster cluster(3, 3, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  EXPECT_EQ(cluster.Submit(owner, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.port(owner).Cut(standin::StandInStore::kAddress);
+  cluster.RunFor(Milliseconds(6'000));
+  const auto successor = cluster.OwnerIndex();
+  ASSERT_TRUE(successor.has_value());
+  EXPECT_NE(*successor, owner);
+  cluster.RunFor(Milliseconds(8'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against leases that end because the store is away for all.
+TEST_F(EntryClusterTest, Store_AwayForNineSeconds_RunsGoOn) {
+  StandInCluster cluster(3, 2, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.store.Refuse(true);
+  cluster.RunFor(Milliseconds(9'000));
+  cluster.store.Refuse(false);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(8'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against runs on a silent worker that hold their room for ever: each call to it was
+// counted as a longer lease.
+TEST_F(EntryClusterTest, Worker_CutOff_ItsTaskRunsElsewhereAfterTheLease) {
+  StandInCluster cluster(2, 2, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  const auto before = cluster.WorkersRunning(kTask);
+  ASSERT_EQ(before.size(), 1U);
+  cluster.port(0).Cut(cluster.workers[before[0]]->address());
+  cluster.port(1).Cut(cluster.workers[before[0]]->address());
+  cluster.RunFor(Milliseconds(9'000));
+  const auto after = cluster.WorkersRunning(kTask);
+  ASSERT_EQ(after.size(), 1U);
+  EXPECT_NE(after[0], before[0]);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against runs taken over on a worker that is gone, which waited three times as long as
+// their lease.
+TEST_F(EntryClusterTest, Owner_KilledAfterAWorkerWent_TaskRunsElsewhereInTime) {
+  StandInCluster cluster(3, 4, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  EXPECT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  const auto before = cluster.WorkersRunning(kTask);
+  ASSERT_EQ(before.size(), 1U);
+  standin::StandInWorker& gone = *cluster.workers[before[0]];
+  cluster.world.StopServing(gone.address());
+  gone.Restart();
+  cluster.Unregister(gone);
+  cluster.Kill(owner);
+  cluster.RunFor(Milliseconds(14'000));
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
+// Guards against work that is held for a worker's former life.
+TEST_F(EntryClusterTest, Worker_StartedAnewUnderItsId_TaskRunsAgainAtOnce) {
+  StandInCluster cluster(2, 1, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.workers[0]->Restart();
+  cluster.Register(*cluster.workers[0]);
+  cluster.RunFor(Milliseconds(2'500));
+  EXPECT_EQ(cluster.StartsOf(kTask), 2);
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
+// Guards against priority 0 that waits behind less urgent work.
+TEST_F(EntryClusterTest, Submit_UrgentWhenFull_TakesTheRoomOfBulkWork) {
+  StandInCluster cluster(2, 1, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, "00000000000000b1", kWholeWorker, "/bulk/")->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.RunningCount(), 1U);
+  EXPECT_EQ(cluster.Submit(0, kJob, kWholeWorker)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
+// Guards against starts on a worker that is leaving.
+TEST_F(EntryClusterTest, Worker_Draining_GetsNoNewRuns) {
+  StandInCluster cluster(2, 2, kRunTime);
+  cluster.Register(*cluster.workers[0], "draining");
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  EXPECT_TRUE(cluster.workers[0]->running().empty());
+  EXPECT_EQ(cluster.workers[1]->running().size(), 4U);
+}
+
+// Guards against starts in a data centre that is out of service.
+TEST_F(EntryClusterTest, DataCentre_Evacuated_GetsNoStartsUntilItIsBack) {
+  StandInCluster cluster(2, 2, kRunTime);
+  cluster.store.Put("keyed.op", "evacuate/kolka", "{}");
+  cluster.RunFor(Milliseconds(500));
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 0);
+  cluster.store.Put("keyed.op", "evacuate/kolka", "");
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+}
+
+// Guards against a job that is tried without end, or given up too early.
+TEST_F(EntryClusterTest, Job_WhoseRunsAllFail_FailsAfterItsAttempts) {
+  StandInCluster cluster(2, 2, kRunTime);
+  for (const auto& worker : cluster.workers) {
+    worker->FailAll("failed");
+  }
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "failed", Milliseconds(8'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 2);
+}
+
+// Guards against tasks of a cancelled job that go on or start.
+TEST_F(EntryClusterTest, Job_CancelledAtAnotherInstance_IsStoppedEverywhere) {
+  StandInCluster cluster(3, 2, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.Ask(1, "DELETE", std::string("/urgent/") + kJob)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.RunningCount(), 0U);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "cancelled", Milliseconds(500)));
+}
+
+// Guards against a planned stop that leaves the gap of a kill.
+TEST_F(EntryClusterTest, Owner_ToldToStop_IsReplacedWithinASecond) {
+  StandInCluster cluster(3, 1, kRunTime);
+  const std::size_t owner = Owner(cluster);
+  cluster.Stop(owner);
+  cluster.RunFor(Milliseconds(1'000));
+  const auto successor = cluster.OwnerIndex();
+  ASSERT_TRUE(successor.has_value());
+  EXPECT_NE(*successor, owner);
+}
+
+// Guards against acknowledged jobs that are gone after all instances were killed at once.
+TEST_F(EntryClusterTest, AllInstances_KilledAfterAnAcceptance_JobCompletes) {
+  StandInCluster cluster(3, 2, kRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  for (std::size_t n = 0; n < 3; ++n) {
+    cluster.Kill(n);
+  }
+  cluster.store.Compact("keyed.loom");
+  cluster.RunFor(Milliseconds(500));
+  for (std::size_t n = 0; n < 3; ++n) {
+    cluster.Restart(n);
+  }
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(20'000)));
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against a view that ends where the store forgot its records.
+TEST_F(EntryClusterTest, Store_ForgetsRecords_ViewsGoOn) {
+  StandInCluster cluster(2, 2, kRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.store.Compact("keyed.loom");
+  cluster.store.Compact("keyed.op");
+  cluster.store.Compact("keyed.servers");
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(5'000)));
+  cluster.PublishConfig(2);
+  EXPECT_EQ(cluster.Submit(1, "00000000000000a2", kOneTask)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState("00000000000000a2", "completed", Milliseconds(5'000)));
+}
+
+// Guards against calls that reach a queue without a key of any team.
+TEST_F(EntryClusterTest, Ask_ForUnknownQueueOrJob_IsToldSo) {
+  StandInCluster cluster(2, 1, kRunTime);
+  EXPECT_EQ(cluster.Ask(0, "GET", "/nowhere/x")->status, 404);
+  EXPECT_EQ(cluster.Ask(0, "GET", std::string("/urgent/") + kJob)->status, 410);
+  EXPECT_EQ(cluster.Submit(0, kJob, "[]")->status, 400);
+  EXPECT_EQ(cluster.Ask(0, "GET", "/urgent/")->body, R"({"pendingCount":0})");
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/tests/standin/sim_world.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "clementineloom/workload/steady_time.h"
+#include "net/http_request.h"
+#include "net/http_response.h"
+
+namespace clementineloom::standin {
+
+/// @brief A deterministic world of servers under one virtual clock.
+///
+/// Time moves from event to event; nothing waits. Thread safety: none.
+class SimWorld {
+ public:
+  using Reply = std::function<void(net::HttpResponse)>;
+  using Server = std::function<void(const net::HttpRequest&, Reply)>;
+
+  [[nodiscard]] workload::SteadyTime now() const { return now_; }
+  [[nodiscard]] std::int64_t unix_now_ms() const {
+    constexpr std::int64_t kStartMs = 1'700'000'000'000;
+    return kStartMs + ElapsedMs();
+  }
+  [[nodiscard]] std::int64_t ElapsedMs() const {
+    return std::chrono::duration_cast<workload::Milliseconds>(now_.time_since_epoch()).count();
+  }
+
+  void After(workload::Milliseconds delay, std::function<void()> action) {
+    events_.emplace(now_ + delay, std::move(action));
+  }
+
+  /// @brief Runs all events of a span of time.
+  void RunFor(workload::Milliseconds span) {
+    const auto end = now_ + span;
+    while (!events_.empty() && events_.begin()->first <= end) {
+      now_ = events_.begin()->first;
+      const auto action = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      action();
+    }
+    now_ = end;
+  }
+
+  void Serve(const std::string& address, Server server) { servers_[address] = std::move(server); }
+  void StopServing(const std::string& address) { servers_.erase(address); }
+
+  /// @brief The server of an address, or null.
+  [[nodiscard]] const Server* Find(const std::string& address) const {
+    const auto it = servers_.find(address);
+    return it == servers_.end() ? nullptr : &it->second;
+  }
+
+ private:
+  workload::SteadyTime now_;
+  std::multimap<workload::SteadyTime, std::function<void()>> events_;
+  std::map<std::string, Server> servers_;
+};
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_cluster.cc
@@ -0,0 +1,160 @@
+#include "standin/standin_cluster.h"
+
+#include <set>
+
+namespace clementineloom::standin {
+
+using workload::Milliseconds;
+
+StandInCluster::StandInCluster(int instances, int worker_count, Milliseconds run_time) {
+  for (int n = 0; n < worker_count; ++n) {
+    const std::string number = std::to_string(n);
+    workers.push_back(
+        std::make_unique<StandInWorker>(world, "w" + number, "10.0.1." + number + ":1", run_time));
+    Register(*workers.back());
+  }
+  PublishConfig(1);
+  instances_.resize(static_cast<std::size_t>(instances));
+  for (std::size_t n = 0; n < instances_.size(); ++n) {
+    Restart(n);
+  }
+  RunFor(Milliseconds(3'000));
+}
+
+void StandInCluster::PublishConfig(std::uint64_t version) {
+  store.Put("keyed.op", "config", R"({"version":)" + std::to_string(version) + R"(,"routes":[
+              {"name":"urgent","host":"h","pathPrefix":"/urgent/","service":"inspect",
+               "priority":0,"maxAttempts":2,"public":false},
+              {"name":"bulk","host":"h","pathPrefix":"/bulk/","service":"inspect",
+               "priority":2,"maxAttempts":2,"public":true}],
+              "tenants":[{"name":"t","apiKeys":["key"],"guaranteed":{"gpus":8}}]})");
+}
+
+void StandInCluster::Register(const StandInWorker& worker, const std::string& state) {
+  store.Put("keyed.servers", worker.id(), worker.Entry(state));
+}
+
+void StandInCluster::Unregister(const StandInWorker& worker) {
+  store.Put("keyed.servers", worker.id(), "");
+}
+
+void StandInCluster::RunFor(Milliseconds span) {
+  for (Milliseconds n{0}; n < span; ++n) {
+    world.RunFor(Milliseconds(1));
+    CheckDoubles();
+  }
+}
+
+void StandInCluster::CheckDoubles() {
+  std::set<std::string> seen;
+  for (const auto& worker : workers) {
+    for (const auto& [task, run] : worker->running()) {
+      if (!seen.insert(task).second) {
+        doubled.push_back(task);
+      }
+    }
+  }
+}
+
+bool StandInCluster::RunUntilState(const std::string& job, const std::string& state,
+                                   Milliseconds timeout) {
+  constexpr Milliseconds kStep{50};
+  for (Milliseconds n{0}; n < timeout; n += kStep) {
+    RunFor(kStep);
+    bool is_everywhere = true;
+    for (std::size_t instance = 0; instance < instances_.size(); ++instance) {
+      if (instances_[instance].state != nullptr) {
+        const auto answer = Ask(instance, "GET", "/bulk/" + job);
+        is_everywhere = is_everywhere && answer && answer->body.find(state) != std::string::npos;
+      }
+    }
+    if (is_everywhere) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<net::HttpResponse> StandInCluster::Ask(std::size_t instance,
+                                                     const std::string& method,
+                                                     const std::string& path,
+                                                     const std::string& body) {
+  constexpr int kMaxWaitMs = 1'000;
+  const std::uint64_t exchange = ++last_exchange_;
+  net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token key"),
+                           body, "h"};
+  request.headers = request.headers.With("X-Clementineloom-Deadline-Ms", "900");
+  instances_[instance].state->OnRequest({net::ExchangeId(exchange), std::move(request)});
+  for (int n = 0; n < kMaxWaitMs && !answers_.contains(exchange); ++n) {
+    RunFor(Milliseconds(1));
+  }
+  const auto it = answers_.find(exchange);
+  return it == answers_.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::optional<net::HttpResponse> StandInCluster::Submit(std::size_t instance,
+                                                        const std::string& job,
+                                                        const std::string& steps,
+                                                        const std::string& queue) {
+  return Ask(instance, "POST", queue + job, R"({"spec":"x","steps":)" + steps + "}");
+}
+
+void StandInCluster::Kill(std::size_t instance) {
+  instances_[instance].state.reset();
+  instances_[instance].port.reset();
+}
+
+void StandInCluster::Restart(std::size_t index) {
+  Instance& instance = instances_[index];
+  settings::EntrySettings settings;
+  settings.instance = "e" + std::to_string(index);
+  settings.store = StandInStore::kAddress;
+  settings.max_lease_ms = 6'000;
+  instance.port = std::make_unique<SimPort>(world);
+  instance.state =
+      std::make_unique<State>(*instance.port, settings,
+                              State::Hooks{[this](net::ExchangeId id, net::HttpResponse response) {
+                                             answers_[id.value()] = std::move(response);
+                                           },
+                                           [](bool) {}},
+                              ++last_seed_ * 37);
+  instance.state->Start();
+}
+
+std::optional<std::size_t> StandInCluster::OwnerIndex() const {
+  for (std::size_t n = 0; n < instances_.size(); ++n) {
+    if (instances_[n].state != nullptr && instances_[n].state->is_owner()) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
+int StandInCluster::StartsOf(const std::string& task) const {
+  int count = 0;
+  for (const auto& worker : workers) {
+    const auto it = worker->starts().find(task);
+    count += it == worker->starts().end() ? 0 : it->second;
+  }
+  return count;
+}
+
+std::vector<std::size_t> StandInCluster::WorkersRunning(const std::string& task) const {
+  std::vector<std::size_t> found;
+  for (std::size_t n = 0; n < workers.size(); ++n) {
+    if (workers[n]->running().contains(task)) {
+      found.push_back(n);
+    }
+  }
+  return found;
+}
+
+std::size_t StandInCluster::RunningCount() const {
+  std::size_t count = 0;
+  for (const auto& worker : workers) {
+    count += worker->running().size();
+  }
+  return count;
+}
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_cluster.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/entry_state.h"
+#include "platform/users_platform.h"
+#include "standin/sim_port.h"
+#include "standin/standin_store.h"
+#include "standin/standin_worker.h"
+
+namespace clementineloom::standin {
+
+/// @brief Entry instances, a store and workers in one SimWorld.
+///
+/// At each millisecond it checks that no task runs on two workers. Thread safety: none.
+class StandInCluster {
+ public:
+  /// @param run_time of every task
+  StandInCluster(int instances, int workers, workload::Milliseconds run_time);
+
+  /// @brief Publishes a configuration with one queue for each of two priorities.
+  void PublishConfig(std::uint64_t version);
+  void Register(const StandInWorker& worker, const std::string& state = "ready");
+  void Unregister(const StandInWorker& worker);
+
+  /// @brief Moves time on and checks the rules that hold at any moment.
+  void RunFor(workload::Milliseconds span);
+  /// @brief Runs until a job has a state on every living instance. @return whether it got there
+  bool RunUntilState(const std::string& job, const std::string& state,
+                     workload::Milliseconds timeout);
+
+  /// @brief Sends a request to an instance and runs until it is answered or a second is over.
+  std::optional<net::HttpResponse> Ask(std::size_t instance, const std::string& method,
+                                       const std::string& path, const std::string& body = {});
+  std::optional<net::HttpResponse> Submit(std::size_t instance, const std::string& job,
+                                          const std::string& steps,
+                                          const std::string& queue = "/urgent/");
+
+  /// @brief Ends an instance at once, as a kill does.
+  void Kill(std::size_t instance);
+  /// @brief Starts an instance that was killed.
+  void Restart(std::size_t instance);
+  /// @brief The instance that owns the workers, or nothing.
+  [[nodiscard]] std::optional<std::size_t> OwnerIndex() const;
+
+  [[nodiscard]] SimPort& port(std::size_t instance) { return *instances_[instance].port; }
+  void Stop(std::size_t instance) { instances_[instance].state->OnStop(); }
+
+  /// @brief Starts of a task on all workers together.
+  [[nodiscard]] int StartsOf(const std::string& task) const;
+  /// @brief Workers on which a task runs now.
+  [[nodiscard]] std::vector<std::size_t> WorkersRunning(const std::string& task) const;
+  [[nodiscard]] std::size_t RunningCount() const;
+
+  SimWorld world;
+  StandInStore store{world};
+  std::vector<std::unique_ptr<StandInWorker>> workers;
+  /// Tasks that ran on two workers at the same time.
+  std::vector<std::string> doubled;
+
+ private:
+  using State = entry::EntryState<adapter::UsersPlatform, SimPort>;
+  struct Instance {
+    std::unique_ptr<SimPort> port;
+    std::unique_ptr<State> state;
+  };
+
+  void CheckDoubles();
+
+  std::vector<Instance> instances_;
+  std::uint32_t last_seed_ = 0;
+  std::uint64_t last_exchange_ = 0;
+  std::map<std::uint64_t, net::HttpResponse> answers_;
+};
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_store.cc
@@ -0,0 +1,167 @@
+#include "standin/standin_store.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <memory>
+
+#include "platform/record_format.h"
+
+namespace clementineloom::standin {
+namespace {
+
+namespace json = boost::json;
+
+constexpr workload::Milliseconds kAppendTime{4};
+
+net::HttpResponse Json(int status, const json::object& body) {
+  return {status, {}, json::serialize(body)};
+}
+
+std::string Base64(const std::string& value) {
+  namespace iterators = boost::archive::iterators;
+  using Encoder =
+      iterators::base64_from_binary<iterators::transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(Encoder(value.begin()), Encoder(value.end()));
+  text.append((4 - text.size() % 4) % 4, '=');
+  return text;
+}
+
+std::string BigEndian(std::uint64_t number) {
+  std::string bytes;
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    bytes.push_back(static_cast<char>(number >> shift));
+  }
+  return bytes;
+}
+
+}  // namespace
+
+void StandInStore::Handle(const net::HttpRequest& request, SimWorld::Reply reply) {
+  if (refuses_) {
+    reply(Json(503, {}));
+    return;
+  }
+  const Query query = Query::Of(request.target);
+  if (query.path == "/log-append") {
+    Append(query, request.body, reply);
+  } else if (query.path == "/log-read") {
+    Read(query, std::move(reply));
+  } else {
+    reply(Newest(query));
+  }
+}
+
+void StandInStore::Append(const Query& query, const std::string& body,
+                          const SimWorld::Reply& reply) {
+  const std::string name = query.Text("topic");
+  Topic& topic = topics_[name];
+  Producer& producer = topic.producers[query.Text("producer")];
+  const std::uint64_t epoch = query.Number("epoch");
+  const std::uint64_t sequence = query.Number("sequence");
+  if (epoch < producer.epoch) {
+    reply(Json(409, {{"reason", "fenced"}}));
+    return;
+  }
+  if (epoch == producer.epoch && producer.offsets.contains(sequence)) {
+    reply(Json(200, {{"offset", producer.offsets[sequence]}}));
+    return;
+  }
+  if (epoch == producer.epoch && !producer.offsets.empty() && sequence != producer.next) {
+    reply(Json(409, {{"reason", "seq"}}));
+    return;
+  }
+  const std::uint64_t offset = topic.records.size();
+  if (query.parameters.contains("at") && query.Number("at") != offset) {
+    reply(Json(412, {{"endOffset", offset}}));
+    return;
+  }
+  if (epoch > producer.epoch) {
+    producer = Producer{epoch, 0, {}};
+  }
+  if (body.empty()) {
+    reply(Json(200, {{"offset", offset}}));
+    return;
+  }
+  producer.next = sequence + 1;
+  producer.offsets[sequence] = offset;
+  const auto batch = adapter::DecodeBatch(BigEndian(0) + BigEndian(0) + body, offset);
+  std::vector<workload::KeyedValue> items;
+  for (const entry::TopicItem& it : batch->items) {
+    items.push_back(it.item);
+  }
+  Add(name, items);
+  if (lost_appends_ > 0) {
+    --lost_appends_;
+    return;
+  }
+  world_.After(kAppendTime, [reply, offset] { reply(Json(200, {{"offset", offset}})); });
+}
+
+void StandInStore::Read(const Query& query, SimWorld::Reply reply) {
+  Topic& topic = topics_[query.Text("topic")];
+  const std::uint64_t from = query.Number("from");
+  if (from < topic.first) {
+    reply(Json(410, {{"firstOffset", topic.first}}));
+    return;
+  }
+  if (from < topic.records.size()) {
+    reply(Batch(topic, from));
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>(Waiter{from, std::move(reply)});
+  topic.waiters.push_back(waiter);
+  world_.After(workload::Milliseconds(query.Number("waitMs")), [this, &topic, waiter] {
+    if (!std::exchange(waiter->is_over, true)) {
+      waiter->reply(Batch(topic, waiter->from));
+    }
+  });
+}
+
+net::HttpResponse StandInStore::Newest(const Query& query) {
+  constexpr std::size_t kPage = 500;
+  const Topic& topic = topics_[query.Text("topic")];
+  std::map<std::string, std::uint64_t> newest;
+  for (std::uint64_t offset = 0; offset < topic.records.size(); ++offset) {
+    newest[topic.records[offset].key] = offset;
+  }
+  json::array items;
+  bool has_more = false;
+  for (auto it = newest.upper_bound(query.Text("dependsOn")); it != newest.end(); ++it) {
+    const workload::KeyedValue& record = topic.records[it->second];
+    if (record.value.empty()) {
+      continue;
+    }
+    if (items.size() == kPage) {
+      has_more = true;
+      break;
+    }
+    items.push_back(
+        json::object{{"key", it->first}, {"value", Base64(record.value)}, {"offset", it->second}});
+  }
+  return Json(
+      200,
+      {{"items", std::move(items)}, {"hasMore", has_more}, {"endOffset", topic.records.size()}});
+}
+
+void StandInStore::Add(const std::string& name, const std::vector<workload::KeyedValue>& items) {
+  Topic& topic = topics_[name];
+  topic.records.insert(topic.records.end(), items.begin(), items.end());
+  for (const auto& it : std::exchange(topic.waiters, {})) {
+    if (!std::exchange(it->is_over, true)) {
+      it->reply(Batch(topic, it->from));
+    }
+  }
+}
+
+net::HttpResponse StandInStore::Batch(const Topic& topic, std::uint64_t from) const {
+  const std::vector<workload::KeyedValue> items(
+      topic.records.begin() + static_cast<std::ptrdiff_t>(from), topic.records.end());
+  return {200,
+          {},
+          BigEndian(topic.records.size()) + BigEndian(topic.first) + adapter::EncodeRecords(items)};
+}
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_store.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/keyed_value.h"
+#include "standin/query.h"
+#include "standin/sim_world.h"
+
+namespace clementineloom::standin {
+
+/// @brief A stand-in for the platform's store: compacted topics of one partition, in memory.
+/// Thread safety: none.
+class StandInStore {
+ public:
+  static constexpr const char* kAddress = "10.0.0.1:1";
+
+  explicit StandInStore(SimWorld& world) : world_(world) {
+    world_.Serve(kAddress, [this](const net::HttpRequest& request, SimWorld::Reply reply) {
+      Handle(request, std::move(reply));
+    });
+  }
+
+  /// @brief Adds a record as another writer, an operator or a worker, does.
+  void Put(const std::string& topic, const std::string& key, const std::string& value) {
+    Add(topic, {{key, value}});
+  }
+
+  /// @brief All calls are answered with 503, and nothing is done, until Refuse(false).
+  void Refuse(bool refuse) { refuses_ = refuse; }
+  /// @brief So many of the next appends are carried out and get no answer.
+  void LoseAppendAnswers(int count) { lost_appends_ = count; }
+  /// @brief Forgets the records before the end of a topic; the newest of each key stay.
+  void Compact(const std::string& topic) { topics_[topic].first = End(topic); }
+
+  [[nodiscard]] std::uint64_t End(const std::string& topic) {
+    return topics_[topic].records.size();
+  }
+  [[nodiscard]] const std::vector<workload::KeyedValue>& Records(const std::string& topic) {
+    return topics_[topic].records;
+  }
+
+ private:
+  struct Producer {
+    std::uint64_t epoch = 0;
+    std::uint64_t next = 0;
+    std::map<std::uint64_t, std::uint64_t> offsets;
+  };
+  struct Waiter {
+    std::uint64_t from = 0;
+    SimWorld::Reply reply;
+    bool is_over = false;
+  };
+  struct Topic {
+    std::vector<workload::KeyedValue> records;
+    std::uint64_t first = 0;
+    std::map<std::string, Producer> producers;
+    std::list<std::shared_ptr<Waiter>> waiters;
+  };
+
+  void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
+  void Append(const Query& query, const std::string& body, const SimWorld::Reply& reply);
+  void Read(const Query& query, SimWorld::Reply reply);
+  [[nodiscard]] net::HttpResponse Newest(const Query& query);
+  void Add(const std::string& topic, const std::vector<workload::KeyedValue>& items);
+  [[nodiscard]] net::HttpResponse Batch(const Topic& topic, std::uint64_t from) const;
+
+  SimWorld& world_;
+  std::map<std::string, Topic> topics_;
+  bool refuses_ = false;
+  int lost_appends_ = 0;
+};
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_worker.cc
@@ -0,0 +1,188 @@
+#include "standin/standin_worker.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace clementineloom::standin {
+namespace {
+
+namespace json = boost::json;
+
+net::HttpResponse Json(int status, const json::object& body) {
+  return {status, {}, json::serialize(body)};
+}
+
+std::uint64_t Unsigned(const json::object& body, const char* name) {
+  return body.contains(name) ? body.at(name).to_number<std::uint64_t>() : 0;
+}
+
+}  // namespace
+
+StandInWorker::StandInWorker(SimWorld& world, std::string id, std::string address,
+                             workload::Milliseconds run_time)
+    : world_(world),
+      id_(std::move(id)),
+      address_(std::move(address)),
+      run_time_(run_time),
+      born_ms_(world.ElapsedMs()) {
+  world_.Serve(address_, [this](const net::HttpRequest& request, SimWorld::Reply reply) {
+    Handle(request, std::move(reply));
+  });
+}
+
+std::string StandInWorker::Entry(const std::string& state) const {
+  return json::serialize(
+      json::object{{"service", "inspect"},
+                   {"address", address_},
+                   {"zone", "kolka"},
+                   {"state", state},
+                   {"labels", json::array{"a", "r1"}},
+                   {"born", born_ms_ + 1},
+                   {"capacity", json::object{{"cpu", 8'000}, {"memMb", 1'000}, {"gpus", 8}}}});
+}
+
+void StandInWorker::Restart() {
+  running_.clear();
+  ended_.clear();
+  highest_ended_.clear();
+  token_ = 0;
+  last_end_ = 0;
+  acknowledged_ = 0;
+  lease_until_ms_ = 0;
+  born_ms_ = world_.ElapsedMs();
+}
+
+void StandInWorker::Handle(const net::HttpRequest& request, SimWorld::Reply reply) {
+  if (request.headers.Find("X-Clementineloom-Target-Instance") != id_) {
+    reply(Json(421, {}));
+  } else if (request.target == "/run-start") {
+    reply(Start(request));
+  } else if (request.target == "/run-stop") {
+    reply(Stop(request));
+  } else {
+    Hold(request, std::move(reply));
+  }
+}
+
+bool StandInWorker::IsFenced(std::uint64_t token) {
+  const bool is_fenced = token < token_;
+  token_ = std::max(token_, token);
+  return is_fenced;
+}
+
+void StandInWorker::ExtendLease(std::int64_t until_ms) {
+  if (until_ms <= lease_until_ms_) {
+    return;
+  }
+  lease_until_ms_ = until_ms;
+  world_.After(workload::Milliseconds(until_ms - ClockMs() + 1), [this] { ExpireLease(); });
+}
+
+void StandInWorker::ExpireLease() {
+  if (ClockMs() <= lease_until_ms_) {
+    return;
+  }
+  const auto expired = running_;
+  for (const auto& [task, run] : expired) {
+    Finish(task, run.run, "lapsed");
+  }
+}
+
+net::HttpResponse StandInWorker::Start(const net::HttpRequest& request) {
+  const json::object body = json::parse(request.body).as_object();
+  const std::string task(body.at("task").as_string());
+  const std::uint64_t run = Unsigned(body, "runId");
+  if (IsFenced(Unsigned(body, "fencingToken"))) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "fence"}});
+  }
+  const std::int64_t until = body.at("deadlineMs").to_number<std::int64_t>();
+  if (until <= ClockMs()) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "late"}});
+  }
+  ExtendLease(until);
+  const auto known = running_.find(task);
+  if (known != running_.end() && known->second.run == run) {
+    return Json(200, {{"clockMs", ClockMs()}});
+  }
+  if (known != running_.end() || run <= highest_ended_[task]) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "old"}});
+  }
+  running_[task] = {run, std::string(body.at("spec").as_string())};
+  ++starts_[task];
+  world_.After(run_time_, [this, task, run] {
+    Finish(task, run, forced_end_.empty() ? "done" : forced_end_);
+  });
+  return Json(200, {{"clockMs", ClockMs()}});
+}
+
+net::HttpResponse StandInWorker::Stop(const net::HttpRequest& request) {
+  const json::object body = json::parse(request.body).as_object();
+  const std::string task(body.at("task").as_string());
+  const std::uint64_t run = Unsigned(body, "runId");
+  if (IsFenced(Unsigned(body, "fencingToken"))) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "fence"}});
+  }
+  highest_ended_[task] = std::max(highest_ended_[task], run);
+  constexpr workload::Milliseconds kStopTime{100};
+  world_.After(kStopTime, [this, task, run] { Finish(task, run, "stopped"); });
+  return Json(200, {{"clockMs", ClockMs()}});
+}
+
+void StandInWorker::Hold(const net::HttpRequest& request, SimWorld::Reply reply) {
+  const json::object body = json::parse(request.body).as_object();
+  if (IsFenced(Unsigned(body, "fencingToken"))) {
+    reply(Json(409, {{"clockMs", ClockMs()}, {"reason", "fence"}}));
+    return;
+  }
+  if (body.contains("deadlineMs")) {
+    ExtendLease(body.at("deadlineMs").to_number<std::int64_t>());
+  }
+  acknowledged_ = std::max(acknowledged_, Unsigned(body, "ackPosition"));
+  std::erase_if(ended_, [this](const End& it) { return it.number <= acknowledged_; });
+  const std::uint64_t wait_ms = Unsigned(body, "waitMs");
+  if (!ended_.empty() || wait_ms == 0) {
+    reply(Lists());
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>(Waiter{std::move(reply)});
+  waiters_.push_back(waiter);
+  world_.After(workload::Milliseconds(wait_ms), [this, waiter] {
+    if (!std::exchange(waiter->is_over, true)) {
+      waiter->reply(Lists());
+    }
+  });
+}
+
+void StandInWorker::Finish(const std::string& task, std::uint64_t run, const std::string& how) {
+  const auto it = running_.find(task);
+  if (it == running_.end() || it->second.run != run) {
+    return;
+  }
+  running_.erase(it);
+  highest_ended_[task] = std::max(highest_ended_[task], run);
+  ended_.push_back({++last_end_, task, run, how});
+  for (const auto& waiter : std::exchange(waiters_, {})) {
+    if (!std::exchange(waiter->is_over, true)) {
+      waiter->reply(Lists());
+    }
+  }
+}
+
+net::HttpResponse StandInWorker::Lists() const {
+  json::array running;
+  for (const auto& [task, run] : running_) {
+    running.push_back(json::array{task, run.run, "", 100});
+  }
+  json::array ended;
+  for (const End& it : ended_) {
+    ended.push_back(json::array{it.number, it.task, it.run, it.how, ""});
+  }
+  return Json(200, {{"clockMs", ClockMs()},
+                    {"born", born_ms_ + 1},
+                    {"running", std::move(running)},
+                    {"ended", std::move(ended)}});
+}
+
+}  // namespace clementineloom::standin
--- /dev/null
+++ b/tests/standin/standin_worker.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "standin/sim_world.h"
+#include "standin/standin_run.h"
+
+namespace clementineloom::standin {
+
+/// @brief A stand-in for a worker that runs tasks under a lease. Thread safety: none.
+class StandInWorker {
+ public:
+  /// @param run_time of each task
+  StandInWorker(SimWorld& world, std::string id, std::string address,
+                workload::Milliseconds run_time);
+
+  [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] const std::string& address() const { return address_; }
+  /// @brief The entry that it registers.
+  [[nodiscard]] std::string Entry(const std::string& state = "ready") const;
+
+  /// @brief Ends all runs in this way from now on; empty for success.
+  void FailAll(std::string how) { forced_end_ = std::move(how); }
+  /// @brief Forgets everything and begins another life at the same address.
+  void Restart();
+
+  [[nodiscard]] const std::map<std::string, StandInRun>& running() const { return running_; }
+  /// @brief Starts of each task, by name.
+  [[nodiscard]] const std::map<std::string, int>& starts() const { return starts_; }
+  /// @brief Ends up to this number were acknowledged.
+  [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_; }
+
+ private:
+  struct End {
+    std::uint64_t number = 0;
+    std::string task;
+    std::uint64_t run = 0;
+    std::string how;
+  };
+  struct Waiter {
+    SimWorld::Reply reply;
+    bool is_over = false;
+  };
+
+  void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
+  [[nodiscard]] net::HttpResponse Start(const net::HttpRequest& request);
+  [[nodiscard]] net::HttpResponse Stop(const net::HttpRequest& request);
+  void Hold(const net::HttpRequest& request, SimWorld::Reply reply);
+  void Finish(const std::string& task, std::uint64_t run, const std::string& how);
+  void ExpireLease();
+  [[nodiscard]] net::HttpResponse Lists() const;
+  [[nodiscard]] std::int64_t ClockMs() const { return world_.ElapsedMs() - born_ms_; }
+  // Notes the token of an order. Returns whether the order is fenced.
+  [[nodiscard]] bool IsFenced(std::uint64_t token);
+  void ExtendLease(std::int64_t until_ms);
+
+  SimWorld& world_;
+  const std::string id_;
+  const std::string address_;
+  const workload::Milliseconds run_time_;
+  std::string forced_end_;
+  std::int64_t born_ms_ = 0;
+  std::uint64_t token_ = 0;
+  std::int64_t lease_until_ms_ = 0;
+  std::uint64_t last_end_ = 0;
+  std::uint64_t acknowledged_ = 0;
+  std::map<std::string, StandInRun> running_;
+  std::map<std::string, std::uint64_t> highest_ended_;
+  std::vector<End> ended_;
+  std::list<std::shared_ptr<Waiter>> waiters_;
+  std::map<std::string, int> starts_;
+};
+
+}  // namespace clementineloom::standin
