Leave the rotation and refuse at once while the store cannot be reached

Change: the state of the last read decides on readiness; a submission then is refused before anything is sent, with Retry-After, and the connection closed. Long polls wait for 1 s, so that a silent link shows after 1.7 s. The change of owner takes 1.4 s of silence in place of 1.7, and an instance that finds itself as the owner of a former life claims at once. Ruled out: holding requests until the store is back; it would keep callers from instances that have the store.

--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -16,20 +16,21 @@
 /// Thread safety: none; use from one thread.
 class OwnerElection {
  public:
-  static constexpr Milliseconds kBeatInterval{500};
+  static constexpr Milliseconds kBeatInterval{400};
   /// Three beats and the time to read one.
-  static constexpr Milliseconds kSilence{1'700};
+  static constexpr Milliseconds kSilence{1'400};
   /// Instances claim one after the other within this time, so that most claims meet no other.
-  static constexpr Milliseconds kSpread{400};
+  static constexpr Milliseconds kSpread{300};
   /// A longer gap between two reads counts as an outage.
-  static constexpr Milliseconds kReadGap{2'600};
+  static constexpr Milliseconds kReadGap{1'900};
 
   static constexpr Milliseconds kClaimPause{400};
 
   /// @param rank 0 to 1; the share of kSpread that this instance waits
   OwnerElection(std::string instance, double rank);
 
-  /// @brief Notes a record of the owner.
+  /// @brief Notes a record of the owner. A record of this instance that comes before the instance
+  /// has claimed is that of a former life, which has surely ended.
   void OnOwner(const OwnerRecord& owner, SteadyTime now);
 
   /// @brief Notes that the stream was read.
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +36,8 @@
     std::function<void()> on_jobs_changed;
     /// When the newest answer of the store to a read of the jobs arrived, once all were loaded.
     std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
+    /// Since when the store has not been reachable; nothing while it is.
+    std::function<std::optional<workload::SteadyTime>()> store_lost_since;
   };
 
   CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
@@ -122,6 +125,9 @@
     submission->queue = queue;
     submission->team = std::move(team);
     submission->accepted_at_ms = port_.UnixNowMs();
+    if (RefuseWithoutStore(request.id)) {
+      return;
+    }
     Record(request.id, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted",
            id);
   }
@@ -132,9 +138,34 @@
       hooks_.answer(exchange, Platform::AcceptedResponse());
       return;
     }
+    if (RefuseWithoutStore(exchange)) {
+      return;
+    }
     Record(exchange, call, workload::CancellationSet{id, true}, "job_cancelled", id);
   }
 
+  // Refuses at once what cannot be recorded now. Nothing was sent to the store, so that this is
+  // true, and the caller's next try reaches another instance.
+  bool RefuseWithoutStore(net::ExchangeId exchange) {
+    const auto lost_since = hooks_.store_lost_since();
+    if (!lost_since) {
+      return false;
+    }
+    net::HttpResponse response = net::RefusalResponse(
+        {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store cannot be reached"});
+    response.headers = response.headers.With(
+        "Retry-After", std::to_string(RetryAfter(port_.Now() - *lost_since).count()));
+    response.closes_connection = true;
+    hooks_.answer(exchange, std::move(response));
+    return true;
+  }
+
+  // Outages mostly last seconds: the first callers return soon, in case it was a moment's, and
+  // later ones less often, so that their few tries reach beyond its end.
+  static std::chrono::seconds RetryAfter(workload::SteadyTime::duration outage) {
+    return outage < std::chrono::seconds(1) ? std::chrono::seconds(1) : std::chrono::seconds(2);
+  }
+
   // Answers once the outcome of the record is known, or when the caller is about to give up.
   void Record(net::ExchangeId exchange, const CallerCall& call, workload::WorkloadRecord record,
               std::string_view event, const std::string& id) {
@@ -159,7 +190,7 @@
       if (is_recorded) {
         hooks_.answer(exchange, Platform::AcceptedResponse());
       } else if (status == AppendStatus::kRefused) {
-        Refuse(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun, "store refused"});
+        RefuseRecord(exchange);
       } else {
         Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
       }
@@ -179,6 +210,14 @@
     Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
   }
 
+  void RefuseRecord(net::ExchangeId exchange) {
+    net::HttpResponse response = net::RefusalResponse(
+        {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store did not take the record"});
+    response.headers = response.headers.With("Retry-After", "1");
+    response.closes_connection = true;
+    hooks_.answer(exchange, std::move(response));
+  }
+
   void Refuse(net::ExchangeId exchange, const Refusal& refusal) {
     hooks_.answer(exchange, net::RefusalResponse(refusal));
   }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -50,14 +50,15 @@
                            {[this](const auto& items) { OnOperatorReload(items); },
                             [this](const auto& items) { OnOperatorItems(items); },
                             {}}),
-        jobs_follower_(port, jobs_topic_, FollowerPace(),
-                       {[this](const auto& items) { OnJobsReload(items); },
-                        [this](const auto& items) { OnJobItems(items); },
-                        [this] { election_.OnReadFailed(); }}),
+        jobs_follower_(
+            port, jobs_topic_, FollowerPace(),
+            {[this](const auto& items) { OnJobsReload(items); },
+             [this](const auto& items) { OnJobItems(items); }, [this] { OnJobsReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
         front_(port, jobs_, operators_, appender_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
-                [this] { return jobs_follower_.last_read_at(); }}) {}
+                [this] { return jobs_follower_.last_read_at(); },
+                [this] { return store_lost_since_; }}) {}
 
   /// @brief Begins to follow the store. Call once.
   void Start() {
@@ -71,6 +72,7 @@
   /// @brief Hands ownership over and claims it no more.
   void OnStop() {
     is_stopping_ = true;
+    UpdateReady();
     if (owner_ != nullptr) {
       owner_->Resign([this] { DropOwnerSoon(); });
     }
@@ -208,13 +210,26 @@
     }
   }
 
+  void OnJobsReadFailed() {
+    election_.OnReadFailed();
+    UpdateReady();
+  }
+
+  // An instance without the store can take nothing: the balancer is to choose another one.
   void UpdateReady() {
-    hooks_.set_ready(!is_stopping_ && operators_.config() && jobs_follower_.is_loaded());
+    const bool has_store = jobs_follower_.is_healthy() && !appender_.is_stuck();
+    if (has_store) {
+      store_lost_since_.reset();
+    } else if (!store_lost_since_) {
+      store_lost_since_ = port_.Now();
+    }
+    hooks_.set_ready(!is_stopping_ && operators_.config() && has_store);
   }
 
   // --- Ownership.
 
   void CheckElection() {
+    UpdateReady();
     if (owner_ == nullptr && !is_claiming_ && !is_stopping_ && jobs_follower_.is_loaded() &&
         election_.MayClaim(port_.Now())) {
       Claim();
@@ -318,6 +333,7 @@
   std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
   // Epoch of the last claim.
   std::uint64_t epoch_ = 0;
+  std::optional<workload::SteadyTime> store_lost_since_;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
 };
--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -51,6 +51,9 @@
   /// @brief Groups whose outcome is not known yet.
   [[nodiscard]] std::size_t backlog() const { return waiting_.size() + in_flight_.size(); }
 
+  /// @brief Whether the append on its way had to be sent again.
+  [[nodiscard]] bool is_stuck() const { return is_busy_ && failures_ > 0; }
+
   /// @brief When the append that is on its way, or waits to be repeated, was first sent.
   [[nodiscard]] workload::SteadyTime sent_at() const { return sent_at_; }
 
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -49,6 +49,9 @@
   /// read was sent.
   [[nodiscard]] std::optional<workload::SteadyTime> last_read_at() const { return last_read_at_; }
 
+  /// @brief Whether the last read or load succeeded.
+  [[nodiscard]] bool is_healthy() const { return is_loaded_ && failures_ == 0; }
+
   /// @brief Offset of the next record to be read.
   [[nodiscard]] std::uint64_t next_offset() const { return next_offset_; }
 
@@ -60,7 +63,7 @@
  private:
   static constexpr workload::Milliseconds kLoadTimeout{2'000};
   // Beyond the store's own wait; a longer silence means a broken connection.
-  static constexpr workload::Milliseconds kReadSlack{1'200};
+  static constexpr workload::Milliseconds kReadSlack{700};
   static constexpr workload::Milliseconds kFirstRetryDelay{100};
   static constexpr workload::Milliseconds kMaxRetryDelay{800};
 
--- a/src/entry/store/topic_follower_options.h
+++ b/src/entry/store/topic_follower_options.h
@@ -8,9 +8,9 @@
 struct TopicFollowerOptions {
   /// Pause between an answer with records and the next read, so that records come in batches.
   workload::Milliseconds pause{100};
-  /// Longest wait of the store for a record. Shorter than the time after which a follower takes a
-  /// silent connection for broken.
-  workload::Milliseconds wait{2'000};
+  /// Longest wait of the store for a record. A silent connection shows only after it, so that it
+  /// is short against the time in which callers give up.
+  workload::Milliseconds wait{1'000};
 
   friend auto operator<=>(const TopicFollowerOptions&, const TopicFollowerOptions&) = default;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -231,7 +231,7 @@
     const bool wants_keep_alive = parser.get().keep_alive();
     const bool is_head = parser.get().method() == http::verb::head;
     const HttpResponse response = co_await Exchange(detail::FromBeast(parser.release()));
-    const bool keep_alive = wants_keep_alive && !is_draining_;
+    const bool keep_alive = wants_keep_alive && !is_draining_ && !response.closes_connection;
     co_return co_await Write(session, response, is_head, keep_alive) && keep_alive;
   }
 
