--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -36,8 +36,8 @@
     std::function<void()> on_jobs_changed;
     /// When the newest answer of the store to a read of the jobs arrived, once all were loaded.
     std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
-    /// Since when the store has not been reachable; nothing while it is.
-    std::function<std::optional<workload::SteadyTime>()> store_lost_since;
+    /// Whether the store can be reached, as far as is known.
+    std::function<bool()> has_store;
   };
 
   CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
@@ -74,6 +74,9 @@
  private:
   // The answer has to reach the caller before it gives up.
   static constexpr workload::Milliseconds kAnswerMargin{150};
+  // Callers wait for some seconds in all: shorter pauses use up their tries within an outage, and
+  // longer ones leave them only one more.
+  static constexpr std::chrono::seconds kRetryAfterOutage{1};
   // An older view may lack a job that was accepted elsewhere and has to be visible by now.
   static constexpr workload::Milliseconds kMaxViewAge{2'400};
 
@@ -147,25 +150,13 @@
   // Refuses at once what cannot be recorded now. Nothing was sent to the store, so that this is
   // true, and the caller's next try reaches another instance.
   bool RefuseWithoutStore(net::ExchangeId exchange) {
-    const auto lost_since = hooks_.store_lost_since();
-    if (!lost_since) {
+    if (hooks_.has_store()) {
       return false;
     }
-    net::HttpResponse response = net::RefusalResponse(
-        {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store cannot be reached"});
-    response.headers = response.headers.With(
-        "Retry-After", std::to_string(RetryAfter(port_.Now() - *lost_since).count()));
-    response.closes_connection = true;
-    hooks_.answer(exchange, std::move(response));
+    RefuseRecord(exchange, "the store cannot be reached");
     return true;
   }
 
-  // Outages mostly last seconds: the first callers return soon, in case it was a moment's, and
-  // later ones less often, so that their few tries reach beyond its end.
-  static std::chrono::seconds RetryAfter(workload::SteadyTime::duration outage) {
-    return outage < std::chrono::seconds(1) ? std::chrono::seconds(1) : std::chrono::seconds(2);
-  }
-
   // Answers once the outcome of the record is known, or when the caller is about to give up.
   void Record(net::ExchangeId exchange, const CallerCall& call, workload::WorkloadRecord record,
               std::string_view event, const std::string& id) {
@@ -190,7 +181,7 @@
       if (is_recorded) {
         hooks_.answer(exchange, Platform::AcceptedResponse());
       } else if (status == AppendStatus::kRefused) {
-        RefuseRecord(exchange);
+        RefuseRecord(exchange, "the store did not take the record");
       } else {
         Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
       }
@@ -210,10 +201,11 @@
     Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
   }
 
-  void RefuseRecord(net::ExchangeId exchange) {
+  void RefuseRecord(net::ExchangeId exchange, std::string detail) {
     net::HttpResponse response = net::RefusalResponse(
-        {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store did not take the record"});
-    response.headers = response.headers.With("Retry-After", "1");
+        {ResultCode::kLogUnavailable, RunState::kDidNotRun, std::move(detail)});
+    response.headers =
+        response.headers.With("Retry-After", std::to_string(kRetryAfterOutage.count()));
     response.closes_connection = true;
     hooks_.answer(exchange, std::move(response));
   }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -57,8 +57,7 @@
         appender_(port, jobs_topic_, CallerAppends()),
         front_(port, jobs_, operators_, appender_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
-                [this] { return jobs_follower_.last_read_at(); },
-                [this] { return store_lost_since_; }}) {}
+                [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; }}) {}
 
   /// @brief Begins to follow the store. Call once.
   void Start() {
@@ -217,13 +216,8 @@
 
   // An instance without the store can take nothing: the balancer is to choose another one.
   void UpdateReady() {
-    const bool has_store = jobs_follower_.is_healthy() && !appender_.is_stuck();
-    if (has_store) {
-      store_lost_since_.reset();
-    } else if (!store_lost_since_) {
-      store_lost_since_ = port_.Now();
-    }
-    hooks_.set_ready(!is_stopping_ && operators_.config() && has_store);
+    has_store_ = jobs_follower_.is_healthy() && !appender_.is_stuck();
+    hooks_.set_ready(!is_stopping_ && operators_.config() && has_store_);
   }
 
   // --- Ownership.
@@ -333,7 +327,7 @@
   std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
   // Epoch of the last claim.
   std::uint64_t epoch_ = 0;
-  std::optional<workload::SteadyTime> store_lost_since_;
+  bool has_store_ = false;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
 };
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -241,22 +241,25 @@
       Lose("the store has not confirmed the epoch");
       return false;
     }
-    must_reach_all_ = unconfirmed > workload::OwnerContact::kGrace;
-    if (must_reach_all_) {
-      PollIdle(now);
+    // Workers without runs are called too, to meet a new owner there.
+    if (unconfirmed > workload::OwnerContact::kGrace) {
+      CallIdle(now);
     }
     return true;
   }
 
-  void PollIdle(workload::SteadyTime now) {
+  void CallIdle(workload::SteadyTime now) {
     std::vector<std::string> idle;
     for (const auto& [id, worker] : workers_) {
-      if (worker.runs.empty() && now - links_[id].answered_at > kIdlePollInterval) {
+      const WorkerLink& link = links_[id];
+      const bool is_called = link.is_polling || link.is_recording_ends;
+      if (worker.runs.empty() && !is_called && !worker.info.address.empty() &&
+          now - link.answered_at > kIdlePollInterval) {
         idle.push_back(id);
       }
     }
     for (const std::string& it : idle) {
-      Poll(it);
+      CallForLists(it, true);
     }
   }
 
@@ -538,9 +541,15 @@
     }
     const bool is_idle = it->second.is_attached && it->second.runs.empty();
     const bool has_ends_to_acknowledge = link.acknowledged_end > last_sent_ack_[id];
-    if (is_idle && !has_ends_to_acknowledge && !must_reach_all_) {
+    if (is_idle && !has_ends_to_acknowledge) {
       return;
     }
+    CallForLists(id, is_idle);
+  }
+
+  // Calls a worker for its lists, whatever runs there. Precondition: no such call is on its way.
+  void CallForLists(const std::string& id, bool is_idle) {
+    WorkerLink& link = links_[id];
     link.is_polling = true;
     RenewOrder order;
     order.fencing_token = options_.epoch;
@@ -551,7 +560,7 @@
     }
     order.wait_ms = order.lease_until_ms && !is_idle ? kPollWait.count() : 0;
     const auto sent_at = port_.Now();
-    const workload::WorkerInfo& info = it->second.info;
+    const workload::WorkerInfo& info = workers_[id].info;
     port_.Call(info.address, Platform::RenewRequest(order, info.id), PollTimeout(order),
                Guard([this, id, sent_at, ack = order.acknowledged_end](
                          const net::ClientResult& result) { OnLists(id, sent_at, ack, result); }));
@@ -885,8 +894,6 @@
   std::map<std::string, workload::SteadyTime> ended_since_;
   // When more than half of the workers had answered.
   std::optional<workload::SteadyTime> majority_at_;
-  // Whether workers without runs are called too, to meet a new owner there.
-  bool must_reach_all_ = false;
   bool is_plan_due_ = false;
   bool is_asking_ = false;
   bool is_resigning_ = false;
