Hand requests to peers without the store, and move runs that stand still

Change: instances announce where they serve; a request that cannot be recorded is tried at up to three peers, which is safe because the job's id makes it idempotent.

--- a/include/clementineloom/workload/job_table.h
+++ b/include/clementineloom/workload/job_table.h
@@ -17,7 +17,7 @@
 /// Thread safety: none; use from one thread.
 class JobTable {
  public:
-  /// @brief Applies a record; owner records change nothing here.
+  /// @brief Applies a record; those of owners and instances change nothing here.
   void Apply(const WorkloadRecord& record);
 
   /// @brief Forgets everything, before a reload.
@@ -37,6 +37,7 @@
   void Set(const TaskSet& record);
   void Set(const JobEndSet& record);
   void Set(const OwnerSet&) {}
+  void Set(const InstanceSet&) {}
   void DropIfEmpty(const std::string& job);
 
   std::map<std::string, JobEntry, std::less<>> jobs_;
--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -29,6 +29,9 @@
   /// The run's own fill or service role, which decides whom it disturbs.
   bool fills_idle_cpu = false;
   std::int64_t tail_target_ms = 0;
+  /// Share of the work that is done, and when it last rose.
+  std::uint32_t progress_percent = 0;
+  SteadyTime progressed_at;
   /// Share of full speed that the worker lets it work at.
   std::uint32_t pace_percent = 100;
 
--- /dev/null
+++ b/include/clementineloom/workload/run_stall.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "clementineloom/workload/placed_run.h"
+#include "clementineloom/workload/step_spec.h"
+
+namespace clementineloom::workload {
+
+/// @brief Whether a run has made no progress for so long that it stands still.
+///
+/// Tasks that run until they are cancelled show no progress. Thread safety: a pure function.
+/// Precondition: run.progressed_at is set.
+[[nodiscard]] bool HasStalled(const StepSpec& spec, const PlacedRun& run, SteadyTime now);
+
+}  // namespace clementineloom::workload
--- a/include/clementineloom/workload/workload_record.h
+++ b/include/clementineloom/workload/workload_record.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "clementineloom/workload/instance_record.h"
 #include "clementineloom/workload/job_state.h"
 #include "clementineloom/workload/job_submission.h"
 #include "clementineloom/workload/owner_record.h"
@@ -46,8 +47,15 @@
   friend auto operator<=>(const OwnerSet&, const OwnerSet&) = default;
 };
 
+/// @brief An entry instance began to serve.
+struct InstanceSet {
+  InstanceRecord instance;
+  friend auto operator<=>(const InstanceSet&, const InstanceSet&) = default;
+};
+
 /// @brief A record of the stream of jobs: each sets one item to a value, so that applying a record
 /// again, or only the newest of an item, gives the same state.
-using WorkloadRecord = std::variant<SubmissionSet, CancellationSet, TaskSet, JobEndSet, OwnerSet>;
+using WorkloadRecord =
+    std::variant<SubmissionSet, CancellationSet, TaskSet, JobEndSet, OwnerSet, InstanceSet>;
 
 }  // namespace clementineloom::workload
--- a/src/codec/workload_record_codec.cc
+++ b/src/codec/workload_record_codec.cc
@@ -15,6 +15,7 @@
 
 namespace json = boost::json;
 using workload::CancellationSet;
+using workload::InstanceSet;
 using workload::JobEndSet;
 using workload::JobState;
 using workload::KeyedValue;
@@ -30,6 +31,7 @@
 constexpr char kCancellation = 'c';
 constexpr char kTask = 't';
 constexpr char kEnd = 'e';
+constexpr char kInstance = 'i';
 
 std::string Key(char kind, const std::string& name) { return std::string(1, kind) + "/" + name; }
 
@@ -61,6 +63,10 @@
                                                               static_cast<int>(it.owner.phase)})};
 }
 
+KeyedValue Encode(const InstanceSet& it) {
+  return {Key(kInstance, it.instance.instance), json::serialize(json::value(it.instance.address))};
+}
+
 Result<workload::TaskRecord> ReadTask(const json::value& value) {
   constexpr std::size_t kMembers = 5;
   const json::array* row = value.if_array();
@@ -128,6 +134,10 @@
       }
       return WorkloadRecord(std::move(record));
     }
+    case kInstance: {
+      const std::string address(value == nullptr ? "" : value->as_string());
+      return WorkloadRecord(InstanceSet{{std::move(name), address}});
+    }
     default:
       return Refuse(ResultCode::kCorruptRecord, "unknown kind of record");
   }
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -13,6 +13,7 @@
 #include "clementineloom/workload/job_table.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_call.h"
+#include "entry/caller/peer_router.h"
 #include "entry/operator/operator_view.h"
 #include "entry/port/call_port.h"
 #include "entry/store/appender.h"
@@ -41,11 +42,12 @@
   };
 
   CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
-              Appender<Platform, Port>& appender, Hooks hooks)
+              Appender<Platform, Port>& appender, PeerRouter<Port>& peers, Hooks hooks)
       : port_(port),
         jobs_(jobs),
         operators_(operators),
         appender_(appender),
+        peers_(peers),
         hooks_(std::move(hooks)) {}
 
   void Handle(net::ServerRequest request) {
@@ -77,6 +79,9 @@
   // Callers wait for some seconds in all: shorter pauses use up their tries within an outage, and
   // longer ones leave them only one more.
   static constexpr std::chrono::seconds kRetryAfterOutage{1};
+  // Time after which an append without an answer is tried by way of a peer as well.
+  static constexpr workload::Milliseconds kSilence{350};
+  static constexpr int kFirstErrorStatus = 300;
   // An older view may lack a job that was accepted elsewhere and has to be visible by now.
   static constexpr workload::Milliseconds kMaxViewAge{2'400};
 
@@ -88,28 +93,28 @@
     } else if (!Platform::IsJobId(id)) {
       Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "job id"});
     } else if (call.kind == CallKind::kRead) {
-      Show(request.id, id);
+      Show(request, id);
     } else if (call.kind == CallKind::kSubmit) {
       Submit(request, call, queue, std::move(team), id);
     } else if (call.kind == CallKind::kCancel) {
-      Cancel(request.id, call, id);
+      Cancel(request, call, id);
     } else {
       Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "method"});
     }
   }
 
-  void Show(net::ExchangeId exchange, const std::string& id) {
+  void Show(const net::ServerRequest& request, const std::string& id) {
     const workload::JobEntry* job = jobs_.Find(id);
     if (job != nullptr && job->submission) {
-      hooks_.answer(exchange, Platform::StateResponse(job->State()));
+      hooks_.answer(request.id, Platform::StateResponse(job->State()));
       return;
     }
     const auto read_at = hooks_.jobs_read_at();
     if (!read_at || port_.Now() - *read_at > kMaxViewAge) {
-      Refuse(exchange, {ResultCode::kViewStale, RunState::kDidNotRun, "jobs not read of late"});
+      HandOn(request, {ResultCode::kViewStale, RunState::kDidNotRun, "jobs not read of late"});
       return;
     }
-    hooks_.answer(exchange, Platform::NoSuchJobResponse());
+    hooks_.answer(request.id, Platform::NoSuchJobResponse());
   }
 
   void Submit(const net::ServerRequest& request, const CallerCall& call,
@@ -128,42 +133,54 @@
     submission->queue = queue;
     submission->team = std::move(team);
     submission->accepted_at_ms = port_.UnixNowMs();
-    if (RefuseWithoutStore(request.id)) {
-      return;
-    }
-    Record(request.id, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted",
-           id);
+    Record(request, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted", id);
   }
 
-  void Cancel(net::ExchangeId exchange, const CallerCall& call, const std::string& id) {
+  void Cancel(const net::ServerRequest& request, const CallerCall& call, const std::string& id) {
     const workload::JobEntry* job = jobs_.Find(id);
     if (job != nullptr && (job->is_cancelled || job->end)) {
-      hooks_.answer(exchange, Platform::AcceptedResponse());
-      return;
-    }
-    if (RefuseWithoutStore(exchange)) {
+      hooks_.answer(request.id, Platform::AcceptedResponse());
       return;
     }
-    Record(exchange, call, workload::CancellationSet{id, true}, "job_cancelled", id);
+    Record(request, call, workload::CancellationSet{id, true}, "job_cancelled", id);
   }
 
-  // Refuses at once what cannot be recorded now. Nothing was sent to the store, so that this is
-  // true, and the caller's next try reaches another instance.
-  bool RefuseWithoutStore(net::ExchangeId exchange) {
-    if (hooks_.has_store()) {
-      return false;
+  // Lets a peer answer; refuses what no peer takes.
+  void HandOn(const net::ServerRequest& request, Refusal refusal) {
+    if (PeerRouter<Port>::IsForwarded(request.request)) {
+      RefuseForNow(request.id, refusal);
+      return;
     }
-    RefuseRecord(exchange, "the store cannot be reached");
-    return true;
+    peers_.Forward(request.request, [this, exchange = request.id, refusal = std::move(refusal)](
+                                        std::optional<net::HttpResponse> response,
+                                        bool may_have_run) {
+      if (response) {
+        hooks_.answer(exchange, std::move(*response));
+      } else if (may_have_run) {
+        Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of peers"});
+      } else {
+        RefuseForNow(exchange, refusal);
+      }
+    });
   }
 
   // Answers once the outcome of the record is known, or when the caller is about to give up.
-  void Record(net::ExchangeId exchange, const CallerCall& call, workload::WorkloadRecord record,
-              std::string_view event, const std::string& id) {
+  void Record(const net::ServerRequest& request, const CallerCall& call,
+              workload::WorkloadRecord record, std::string_view event, const std::string& id) {
+    if (!hooks_.has_store()) {
+      // Nothing was sent to the store, so that a refusal is true.
+      HandOn(request,
+             {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store cannot be reached"});
+      return;
+    }
+    const net::ExchangeId exchange = request.id;
     waiting_.emplace(exchange, id);
     port_.After(std::max(workload::Milliseconds(call.patience_ms) - kAnswerMargin,
                          workload::Milliseconds(0)),
                 [this, exchange] { GiveUp(exchange); });
+    if (!PeerRouter<Port>::IsForwarded(request.request)) {
+      port_.After(kSilence, [this, request] { AskPeers(request); });
+    }
     appender_.Append({codec::EncodeWorkloadRecord(record)},
                      [this, exchange, record, event, id](AppendStatus status) {
                        OnRecorded(exchange, record, event, id, status);
@@ -181,7 +198,8 @@
       if (is_recorded) {
         hooks_.answer(exchange, Platform::AcceptedResponse());
       } else if (status == AppendStatus::kRefused) {
-        RefuseRecord(exchange, "the store did not take the record");
+        RefuseForNow(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun,
+                                "the store did not take the record"});
       } else {
         Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
       }
@@ -191,6 +209,20 @@
     }
   }
 
+  // The link to the store may be silent while a peer's is not.
+  void AskPeers(const net::ServerRequest& request) {
+    if (!waiting_.contains(request.id)) {
+      return;
+    }
+    peers_.Forward(request.request,
+                   [this, exchange = request.id](std::optional<net::HttpResponse> response, bool) {
+                     const bool is_success = response && response->status < kFirstErrorStatus;
+                     if (is_success && waiting_.erase(exchange) > 0) {
+                       hooks_.answer(exchange, std::move(*response));
+                     }
+                   });
+  }
+
   void GiveUp(net::ExchangeId exchange) {
     const auto it = waiting_.find(exchange);
     if (it == waiting_.end()) {
@@ -201,9 +233,9 @@
     Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
   }
 
-  void RefuseRecord(net::ExchangeId exchange, std::string detail) {
-    net::HttpResponse response = net::RefusalResponse(
-        {ResultCode::kLogUnavailable, RunState::kDidNotRun, std::move(detail)});
+  // Sends the caller to another instance, after a pause.
+  void RefuseForNow(net::ExchangeId exchange, const Refusal& refusal) {
+    net::HttpResponse response = net::RefusalResponse(refusal);
     response.headers =
         response.headers.With("Retry-After", std::to_string(kRetryAfterOutage.count()));
     response.closes_connection = true;
@@ -218,6 +250,7 @@
   workload::JobTable& jobs_;
   const OperatorView& operators_;
   Appender<Platform, Port>& appender_;
+  PeerRouter<Port>& peers_;
   const Hooks hooks_;
   // Job of each request that waits for the store.
   std::map<net::ExchangeId, std::string> waiting_;
--- /dev/null
+++ b/src/entry/caller/peer_router.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/instance_record.h"
+#include "entry/port/call_port.h"
+#include "entry/port/life_guard.h"
+#include "logging/event_log.h"
+
+namespace clementineloom::entry {
+
+/// @brief Hands requests of callers to other instances, while this one cannot reach the store.
+///
+/// A request is tried at several peers in turn: submissions and cancellations are idempotent by
+/// the job's id. A peer does not hand it on again.
+/// Thread safety: none; use from the thread of the port.
+template <CallPort Port>
+class PeerRouter {
+ public:
+  /// Takes the answer of a peer, or nothing; then the flag tells whether the request may have run.
+  using Done = std::function<void(std::optional<net::HttpResponse>, bool may_have_run)>;
+
+  PeerRouter(Port& port, std::string instance) : port_(port), instance_(std::move(instance)) {}
+
+  /// @brief Adds a peer or changes its address; this instance itself is left out.
+  void Add(const workload::InstanceRecord& peer) {
+    if (peer.instance != instance_) {
+      peers_.insert_or_assign(peer.instance, Peer{peer.address, {}});
+    }
+  }
+
+  /// @brief Whether a request was handed on by a peer, and must not be handed on again.
+  [[nodiscard]] static bool IsForwarded(const net::HttpRequest& request) {
+    return !request.headers.Find(kForwardedHeader).empty();
+  }
+
+  /// @brief Tries a request at peers. Done runs once, never before Forward returns.
+  void Forward(const net::HttpRequest& request, Done done) {
+    net::HttpRequest forwarded = request;
+    forwarded.headers = forwarded.headers.With(kForwardedHeader, instance_);
+    Try({std::move(forwarded), Candidates(), 0, false, std::move(done)});
+  }
+
+ private:
+  static constexpr const char* kForwardedHeader = "X-Loom-Forwarded-By";
+  static constexpr workload::Milliseconds kTimeout{600};
+  static constexpr std::size_t kMaxTries = 3;
+  // A peer that failed is tried last for this time.
+  static constexpr workload::Milliseconds kRest{3'000};
+  static constexpr int kUnavailable = 503;
+  static constexpr int kOutcomeUnknown = 504;
+
+  struct Peer {
+    std::string address;
+    workload::SteadyTime failed_at;
+  };
+  struct Attempt {
+    net::HttpRequest request;
+    std::vector<std::string> peers;
+    std::size_t next = 0;
+    bool may_have_run = false;
+    Done done;
+  };
+
+  // Peers that did not fail of late, beginning with the one that answered last.
+  std::vector<std::string> Candidates() const {
+    std::vector<std::string> good;
+    std::vector<std::string> resting;
+    for (const auto& [name, peer] : peers_) {
+      const bool has_failed =
+          peer.failed_at != workload::SteadyTime() && port_.Now() - peer.failed_at < kRest;
+      if (name == last_good_) {
+        good.insert(good.begin(), name);
+      } else {
+        (has_failed ? resting : good).push_back(name);
+      }
+    }
+    good.insert(good.end(), resting.begin(), resting.end());
+    return good;
+  }
+
+  void Try(Attempt attempt) {
+    if (attempt.next >= std::min(attempt.peers.size(), kMaxTries)) {
+      port_.After(workload::Milliseconds(0),
+                  life_.Wrap([attempt] { attempt.done(std::nullopt, attempt.may_have_run); }));
+      return;
+    }
+    const std::string peer = attempt.peers[attempt.next++];
+    const std::string& address = peers_.at(peer).address;
+    port_.Call(address, attempt.request, kTimeout,
+               life_.Wrap([this, peer, attempt](const net::ClientResult& result) {
+                 OnAnswer(peer, attempt, result);
+               }));
+  }
+
+  void OnAnswer(const std::string& peer, Attempt attempt, const net::ClientResult& result) {
+    if (result.response && result.response->status < kUnavailable) {
+      last_good_ = peer;
+      peers_.at(peer).failed_at = {};
+      attempt.done(result.response, false);
+      return;
+    }
+    if (last_good_ == peer) {
+      last_good_.clear();
+    }
+    peers_.at(peer).failed_at = port_.Now();
+    const bool may_have_run = result.response ? result.response->status == kOutcomeUnknown
+                                              : result.refusal->run_state != RunState::kDidNotRun;
+    attempt.may_have_run = attempt.may_have_run || may_have_run;
+    Try(std::move(attempt));
+  }
+
+  Port& port_;
+  const std::string instance_;
+  std::map<std::string, Peer> peers_;
+  std::string last_good_;
+  LifeGuard life_;
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -55,7 +55,8 @@
             {[this](const auto& items) { OnJobsReload(items); },
              [this](const auto& items) { OnJobItems(items); }, [this] { OnJobsReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
-        front_(port, jobs_, operators_, appender_,
+        peers_(port, settings_.instance),
+        front_(port, jobs_, operators_, appender_, peers_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
                 [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; }}) {}
 
@@ -153,6 +154,11 @@
       jobs_.Clear();
     }
     OnJobItems(items);
+    if (!std::exchange(is_announced_, true)) {
+      appender_.Append({codec::EncodeWorkloadRecord(
+                           workload::InstanceSet{{settings_.instance, settings_.listen}})},
+                       [](AppendStatus) {});
+    }
     logging::LogEvent(logging::LogLevel::kInfo, "jobs_loaded",
                       {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
   }
@@ -184,6 +190,10 @@
     if (!record) {
       return false;
     }
+    if (const auto* set = std::get_if<workload::InstanceSet>(&*record)) {
+      peers_.Add(set->instance);
+      return false;
+    }
     if (const auto* set = std::get_if<workload::OwnerSet>(&*record)) {
       TakeOwner(set->owner);
       return false;
@@ -322,12 +332,15 @@
   TopicFollower<Platform, Port> operator_follower_;
   TopicFollower<Platform, Port> jobs_follower_;
   Appender<Platform, Port> appender_;
+  PeerRouter<Port> peers_;
   CallerFront<Platform, Port> front_;
   std::unique_ptr<Owner<Platform, Port>> owner_;
   std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
   // Epoch of the last claim.
   std::uint64_t epoch_ = 0;
   bool has_store_ = false;
+  // Whether the peers were told where this instance serves.
+  bool is_announced_ = false;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
 };
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -16,6 +16,7 @@
 #include "clementineloom/workload/owner_contact.h"
 #include "clementineloom/workload/owner_election.h"
 #include "clementineloom/workload/run_outcome.h"
+#include "clementineloom/workload/run_stall.h"
 #include "clementineloom/workload/task_planner.h"
 #include "clementineloom/workload/worker_pool.h"
 #include "codec/task_name.h"
@@ -680,6 +681,7 @@
     if (!item.checkpoint.empty()) {
       run->checkpoint = item.checkpoint;
     }
+    NoteProgress(id, *run, item.percent);
     if (run->stage == workload::RunStage::kStarting) {
       run->stage = workload::RunStage::kRunning;
       run->confirmed_at = port_.Now();
@@ -690,6 +692,31 @@
     }
   }
 
+  // Moves a run that stands still, and rests its worker.
+  void NoteProgress(const std::string& id, workload::PlacedRun& run, std::uint32_t percent) {
+    const auto now = port_.Now();
+    if (percent != run.progress_percent || run.progressed_at == workload::SteadyTime()) {
+      run.progress_percent = percent;
+      run.progressed_at = now;
+      return;
+    }
+    const workload::JobEntry* job = jobs_.Find(run.run.task.step.job);
+    if (run.stage != workload::RunStage::kRunning || job == nullptr || !job->IsOpen()) {
+      return;
+    }
+    const workload::StepSpec& spec = job->submission->steps[run.run.task.step.step];
+    if (workload::HasStalled(spec, run, now)) {
+      logging::LogEvent(logging::LogLevel::kWarning, "run_stalled",
+                        {{"task", codec::TaskName(run.run.task)},
+                         {"run", run.run.run},
+                         {"worker", id},
+                         {"percent", percent}});
+      Rest(id, kLongRestAfterFailure);
+      OrderStop(id, run.run);
+      BreakGang(run.run);
+    }
+  }
+
   // Runs that the worker must know of and does not list.
   void TakeMissing(const std::string& id, const std::set<workload::TaskRun>& listed,
                    workload::SteadyTime sent_at, Records& records) {
--- a/src/net/detail/beast_conversion.cc
+++ b/src/net/detail/beast_conversion.cc
@@ -86,7 +86,7 @@
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(http::field::host, host);
+  message.set(http::field::host, request.host.empty() ? host : request.host);
   InsertHeaders(message, request.headers);
   message.body() = request.body;
   message.prepare_payload();
--- a/src/net/http_request.h
+++ b/src/net/http_request.h
@@ -12,7 +12,7 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
-  /// Host that the caller named; empty in requests that are sent, which name the address.
+  /// Host that the caller named. In a request that is sent, empty to name the address.
   std::string host = {};
 
   friend auto operator<=>(const HttpRequest&, const HttpRequest&) = default;
--- a/src/workload/owner_election.cc
+++ b/src/workload/owner_election.cc
@@ -34,8 +34,8 @@
   if (!is_readable_ || now - *last_read_ > kReadGap || now < may_claim_from_) {
     return false;
   }
-  const bool is_free = !owner_ || owner_->phase == OwnerPhase::kResigned ||
-                       owner_->instance == instance_;
+  const bool is_free =
+      !owner_ || owner_->phase == OwnerPhase::kResigned || owner_->instance == instance_;
   const Milliseconds silence = is_free ? Milliseconds(0) : kSilence;
   return now >= last_sign_ + silence + delay_;
 }
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -75,6 +75,24 @@
   EXPECT_EQ(cluster.StartsOf(kTask), 0);
 }
 
+// Guards against callers that are refused because the instance that they met has lost the store.
+TEST_F(EntryClusterTest, Submit_WhereTheStoreIsCutOff_IsTakenByAPeer) {
+  StandInCluster cluster(3, 2, kRunTime);
+  const std::size_t front = Other(Owner(cluster));
+  cluster.port(front).Cut(standin::StandInStore::kAddress);
+  const auto silent = cluster.Submit(front, kJob, kOneTask);
+  ASSERT_TRUE(silent.has_value());
+  EXPECT_EQ(silent->status, kOk);
+  cluster.RunFor(Milliseconds(3'000));
+  const auto known_lost = cluster.Submit(front, "00000000000000a2", kOneTask);
+  ASSERT_TRUE(known_lost.has_value());
+  EXPECT_EQ(known_lost->status, kOk);
+  cluster.port(front).Heal(standin::StandInStore::kAddress);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(6'000)));
+  EXPECT_TRUE(cluster.RunUntilState("00000000000000a2", "completed", Milliseconds(6'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
 // Guards against an append without records, which the store does not number: the owner's next
 // append was refused, and ownership was lost.
 TEST_F(EntryClusterTest, Ends_ThatChangeNothing_KeepOwnership) {
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -99,7 +99,29 @@
   return Ask(instance, "POST", queue + job, R"({"spec":"x","steps":)" + steps + "}");
 }
 
+std::string StandInCluster::ListenAddress(std::size_t instance) {
+  return "10.0.2." + std::to_string(instance) + ":1";
+}
+
+void StandInCluster::Handle(std::size_t instance, const net::HttpRequest& request,
+                            SimWorld::Reply reply) {
+  const std::uint64_t exchange = ++last_exchange_;
+  replies_.emplace(exchange, std::move(reply));
+  instances_[instance].state->OnRequest({net::ExchangeId(exchange), request});
+}
+
+void StandInCluster::Deliver(std::uint64_t exchange, net::HttpResponse response) {
+  const auto reply = replies_.find(exchange);
+  if (reply == replies_.end()) {
+    answers_[exchange] = std::move(response);
+    return;
+  }
+  reply->second(std::move(response));
+  replies_.erase(reply);
+}
+
 void StandInCluster::Kill(std::size_t instance) {
+  world.StopServing(ListenAddress(instance));
   instances_[instance].state.reset();
   instances_[instance].port.reset();
 }
@@ -109,16 +131,21 @@
   settings::EntrySettings settings;
   settings.instance = "e" + std::to_string(index);
   settings.store = StandInStore::kAddress;
+  settings.listen = ListenAddress(index);
   settings.max_lease_ms = 6'000;
   instance.port = std::make_unique<SimPort>(world);
   instance.state =
       std::make_unique<State>(*instance.port, settings,
                               State::Hooks{[this](net::ExchangeId id, net::HttpResponse response) {
-                                             answers_[id.value()] = std::move(response);
+                                             Deliver(id.value(), std::move(response));
                                            },
                                            [](bool) {}},
                               ++last_seed_ * 37);
   instance.state->Start();
+  world.Serve(settings.listen,
+              [this, index](const net::HttpRequest& request, SimWorld::Reply reply) {
+                Handle(index, request, std::move(reply));
+              });
 }
 
 std::optional<std::size_t> StandInCluster::OwnerIndex() const {
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -71,11 +71,17 @@
   };
 
   void CheckDoubles();
+  [[nodiscard]] static std::string ListenAddress(std::size_t instance);
+  // Serves a request that another instance handed on.
+  void Handle(std::size_t instance, const net::HttpRequest& request, SimWorld::Reply reply);
+  void Deliver(std::uint64_t exchange, net::HttpResponse response);
 
   std::vector<Instance> instances_;
   std::uint32_t last_seed_ = 0;
   std::uint64_t last_exchange_ = 0;
   std::map<std::uint64_t, net::HttpResponse> answers_;
+  // Replies to requests that instances handed on.
+  std::map<std::uint64_t, SimWorld::Reply> replies_;
 };
 
 }  // namespace clementineloom::standin
