Hand requests only to peers with a newer view of the store

In an outage of the whole store, peers left the outcome unknown: 504 in place of 503. A probe asks first how old a peer's view is.

--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -51,6 +51,11 @@
         hooks_(std::move(hooks)) {}
 
   void Handle(net::ServerRequest request) {
+    if (PeerRouter<Port>::IsProbe(request.request)) {
+      hooks_.answer(request.id, PeerRouter<Port>::ProbeResponse(
+                                    hooks_.has_store() ? std::optional(ViewAge()) : std::nullopt));
+      return;
+    }
     const CallerCall call = Platform::ParseCaller(request.request);
     if (!operators_.config()) {
       Refuse(request.id, {ResultCode::kViewStale, RunState::kDidNotRun, "no configuration yet"});
@@ -145,23 +150,31 @@
     Record(request, call, workload::CancellationSet{id, true}, "job_cancelled", id);
   }
 
+  // Time since the newest answer of the store; very long before the first.
+  workload::Milliseconds ViewAge() const {
+    const auto read_at = hooks_.jobs_read_at();
+    return read_at ? std::chrono::duration_cast<workload::Milliseconds>(port_.Now() - *read_at)
+                   : workload::Milliseconds(std::chrono::hours(1));
+  }
+
   // Lets a peer answer; refuses what no peer takes.
   void HandOn(const net::ServerRequest& request, Refusal refusal) {
     if (PeerRouter<Port>::IsForwarded(request.request)) {
       RefuseForNow(request.id, refusal);
       return;
     }
-    peers_.Forward(request.request, [this, exchange = request.id, refusal = std::move(refusal)](
-                                        std::optional<net::HttpResponse> response,
-                                        bool may_have_run) {
-      if (response) {
-        hooks_.answer(exchange, std::move(*response));
-      } else if (may_have_run) {
-        Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of peers"});
-      } else {
-        RefuseForNow(exchange, refusal);
-      }
-    });
+    peers_.Forward(request.request, ViewAge(),
+                   [this, exchange = request.id, refusal = std::move(refusal)](
+                       std::optional<net::HttpResponse> response, bool may_have_run) {
+                     if (response) {
+                       hooks_.answer(exchange, std::move(*response));
+                     } else if (may_have_run) {
+                       Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun,
+                                         "no answer of peers"});
+                     } else {
+                       RefuseForNow(exchange, refusal);
+                     }
+                   });
   }
 
   // Answers once the outcome of the record is known, or when the caller is about to give up.
@@ -214,7 +227,7 @@
     if (!waiting_.contains(request.id)) {
       return;
     }
-    peers_.Forward(request.request,
+    peers_.Forward(request.request, ViewAge(),
                    [this, exchange = request.id](std::optional<net::HttpResponse> response, bool) {
                      const bool is_success = response && response->status < kFirstErrorStatus;
                      if (is_success && waiting_.erase(exchange) > 0) {
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <optional>
@@ -41,19 +42,39 @@
     return !request.headers.Find(kForwardedHeader).empty();
   }
 
-  /// @brief Tries a request at peers. Done runs once, never before Forward returns.
-  void Forward(const net::HttpRequest& request, Done done) {
+  /// @brief Whether a request only asks how old this instance's view of the store is.
+  [[nodiscard]] static bool IsProbe(const net::HttpRequest& request) {
+    return !request.headers.Find(kProbeHeader).empty();
+  }
+
+  /// @brief The answer to a probe. @param view_age nothing while the store cannot be reached
+  [[nodiscard]] static net::HttpResponse ProbeResponse(
+      std::optional<workload::Milliseconds> view_age) {
+    return {view_age ? kOk : kUnavailable, {}, view_age ? std::to_string(view_age->count()) : ""};
+  }
+
+  /// @brief Tries a request at peers that read the store after this instance last could, because
+  /// a peer in the same outage would leave the outcome unknown.
+  ///
+  /// Done runs once, never before Forward returns.
+  /// @param view_age of this instance
+  void Forward(const net::HttpRequest& request, workload::Milliseconds view_age, Done done) {
     net::HttpRequest forwarded = request;
     forwarded.headers = forwarded.headers.With(kForwardedHeader, instance_);
-    Try({std::move(forwarded), Candidates(), 0, false, std::move(done)});
+    Try({std::move(forwarded), Candidates(), 0, false, port_.Now() - view_age, std::move(done)});
   }
 
  private:
   static constexpr const char* kForwardedHeader = "X-Loom-Forwarded-By";
+  static constexpr const char* kProbeHeader = "X-Loom-View-Age";
   static constexpr workload::Milliseconds kTimeout{600};
-  static constexpr std::size_t kMaxTries = 3;
+  static constexpr workload::Milliseconds kProbeTimeout{150};
+  static constexpr std::size_t kMaxTries = 4;
+  // A peer's view has to be newer by more than two instances differ that lose the store at once.
+  static constexpr workload::Milliseconds kFresherBy{250};
   // A peer that failed is tried last for this time.
   static constexpr workload::Milliseconds kRest{3'000};
+  static constexpr int kOk = 200;
   static constexpr int kUnavailable = 503;
   static constexpr int kOutcomeUnknown = 504;
 
@@ -66,6 +87,8 @@
     std::vector<std::string> peers;
     std::size_t next = 0;
     bool may_have_run = false;
+    // When this instance last read the store.
+    workload::SteadyTime last_read_at;
     Done done;
   };
 
@@ -93,13 +116,37 @@
       return;
     }
     const std::string peer = attempt.peers[attempt.next++];
-    const std::string& address = peers_.at(peer).address;
-    port_.Call(address, attempt.request, kTimeout,
+    net::HttpRequest probe{"GET", "/", net::HttpHeaders().With(kProbeHeader, "?"), {}};
+    port_.Call(peers_.at(peer).address, std::move(probe), kProbeTimeout,
                life_.Wrap([this, peer, attempt](const net::ClientResult& result) {
-                 OnAnswer(peer, attempt, result);
+                 OnProbe(peer, attempt, result);
+               }));
+  }
+
+  void OnProbe(const std::string& peer, const Attempt& attempt, const net::ClientResult& result) {
+    if (!result.response || result.response->status != kOk) {
+      NoteFailure(peer);
+      Try(attempt);
+      return;
+    }
+    const workload::Milliseconds peer_age(std::atoll(result.response->body.c_str()));
+    if (port_.Now() - peer_age < attempt.last_read_at + kFresherBy) {
+      Try(attempt);
+      return;
+    }
+    port_.Call(peers_.at(peer).address, attempt.request, kTimeout,
+               life_.Wrap([this, peer, attempt](const net::ClientResult& answer) {
+                 OnAnswer(peer, attempt, answer);
                }));
   }
 
+  void NoteFailure(const std::string& peer) {
+    if (last_good_ == peer) {
+      last_good_.clear();
+    }
+    peers_.at(peer).failed_at = port_.Now();
+  }
+
   void OnAnswer(const std::string& peer, Attempt attempt, const net::ClientResult& result) {
     if (result.response && result.response->status < kUnavailable) {
       last_good_ = peer;
@@ -107,10 +154,7 @@
       attempt.done(result.response, false);
       return;
     }
-    if (last_good_ == peer) {
-      last_good_.clear();
-    }
-    peers_.at(peer).failed_at = port_.Now();
+    NoteFailure(peer);
     const bool may_have_run = result.response ? result.response->status == kOutcomeUnknown
                                               : result.refusal->run_state != RunState::kDidNotRun;
     attempt.may_have_run = attempt.may_have_run || may_have_run;
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -63,7 +63,7 @@
  private:
   static constexpr workload::Milliseconds kLoadTimeout{2'000};
   // Beyond the store's own wait; a longer silence means a broken connection.
-  static constexpr workload::Milliseconds kReadSlack{700};
+  static constexpr workload::Milliseconds kReadSlack{600};
   static constexpr workload::Milliseconds kFirstRetryDelay{100};
   static constexpr workload::Milliseconds kMaxRetryDelay{800};
 
--- a/src/entry/store/topic_follower_options.h
+++ b/src/entry/store/topic_follower_options.h
@@ -10,7 +10,7 @@
   workload::Milliseconds pause{100};
   /// Longest wait of the store for a record. A silent connection shows only after it, so that it
   /// is short against the time in which callers give up.
-  workload::Milliseconds wait{1'000};
+  workload::Milliseconds wait{600};
 
   friend auto operator<=>(const TopicFollowerOptions&, const TopicFollowerOptions&) = default;
 };
