Count a claim once it is read back, and claim nothing before a reload

Causes of the two findings: - Two instances drew the same epoch (nonce of 12 bits). A follower that reloads counts as not loaded. Both have a test that failed before. Ruled out: a start between fence and claim (the claim names the offset that it follows).

--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -53,7 +53,7 @@
 
  private:
   // The lower bits of an epoch are the nonce of its instance.
-  static constexpr std::uint64_t kNonceRange = 4'096;
+  static constexpr std::uint64_t kNonceRange = 1'048'576;
 
   const std::string instance_;
   const Milliseconds delay_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -53,7 +53,7 @@
         jobs_follower_(
             port, jobs_topic_, FollowerPace(),
             {[this](const auto& items) { OnJobsReload(items); },
-             [this](const auto& items) { OnJobItems(items); }, [this] { OnJobsReadFailed(); }}),
+             [this](const auto& items) { OnJobBatch(items); }, [this] { OnJobsReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
         peers_(port, settings_.instance),
         front_(port, jobs_, operators_, appender_, peers_,
@@ -163,6 +163,14 @@
                       {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
   }
 
+  // A load may hold the claim without the records before it; the batches after it are in order.
+  void OnJobBatch(const std::vector<TopicItem>& items) {
+    OnJobItems(items);
+    if (owner_ == nullptr && !is_stopping_ && HoldsClaim()) {
+      BecomeOwner();
+    }
+  }
+
   void OnJobItems(const std::vector<TopicItem>& items) {
     election_.OnRead(port_.Now());
     bool has_job_changes = false;
@@ -208,7 +216,7 @@
 
   void TakeOwner(const workload::OwnerRecord& owner) {
     election_.OnOwner(owner, port_.Now());
-    if (owner_ != nullptr && owner.epoch > epoch_) {
+    if (owner_ != nullptr && owner.epoch > epoch_ && epoch_ != 0) {
       OnOwnershipLost();
     }
   }
@@ -243,7 +251,7 @@
 
   void Claim() {
     is_claiming_ = true;
-    epoch_ = election_.NextEpoch(seed_);
+    epoch_ = election_.NextEpoch(nonce_++);
     AppendOrder order;
     order.items = {codec::EncodeWorkloadRecord(
         workload::OwnerSet{{epoch_, settings_.instance, workload::OwnerPhase::kActive}})};
@@ -252,32 +260,32 @@
     order.expected_end = jobs_follower_.next_offset();
     logging::LogEvent(logging::LogLevel::kInfo, "claiming_ownership",
                       {{"epoch", epoch_}, {"offset", *order.expected_end}});
-    port_.Call(settings_.store, Platform::AppendRequest(jobs_topic_.topic, order), kClaimTimeout,
-               [this, offset = *order.expected_end](const net::ClientResult& result) {
-                 OnClaimAnswer(offset, Platform::ParseAppend(result));
-               });
+    port_.Call(
+        settings_.store, Platform::AppendRequest(jobs_topic_.topic, order), kClaimTimeout,
+        [this](const net::ClientResult& result) { OnClaimAnswer(Platform::ParseAppend(result)); });
   }
 
-  void OnClaimAnswer(std::uint64_t offset, const AppendAnswer& answer) {
+  // The claim counts once it is read back: a store that took another instance's claim of the same
+  // epoch answers this one as its repeat, and a claim without an answer may still be stored.
+  void OnClaimAnswer(const AppendAnswer& answer) {
     is_claiming_ = false;
     if (answer.status != AppendStatus::kAppended) {
-      // Without an answer the claim may hold. Then it counts as another owner's that never
-      // speaks again: this instance claims a higher epoch after the usual silence.
       logging::LogEvent(logging::LogLevel::kInfo, "claim_failed",
                         {{"epoch", epoch_}, {"status", static_cast<int>(answer.status)}});
-      election_.OnClaimFailed(port_.Now());
-      return;
     }
-    if (is_stopping_) {
-      return;
-    }
-    BecomeOwner(offset);
+    election_.OnClaimFailed(port_.Now());
+  }
+
+  // Whether the newest owner's record is this instance's last claim.
+  [[nodiscard]] bool HoldsClaim() const {
+    const workload::OwnerRecord mine{epoch_, settings_.instance, workload::OwnerPhase::kActive};
+    return epoch_ != 0 && election_.owner() == mine;
   }
 
-  void BecomeOwner(std::uint64_t offset) {
+  // Precondition: all records up to the claim were read.
+  void BecomeOwner() {
     logging::LogEvent(logging::LogLevel::kInfo, "ownership_taken",
-                      {{"epoch", epoch_}, {"offset", offset}});
-    election_.OnOwner({epoch_, settings_.instance, workload::OwnerPhase::kActive}, port_.Now());
+                      {{"epoch", epoch_}, {"next_offset", jobs_follower_.next_offset()}});
     AppenderOptions appends;
     appends.producer = kOwnerProducer;
     appends.epoch = epoch_;
@@ -305,6 +313,7 @@
   }
 
   void OnOwnershipLost() {
+    epoch_ = 0;
     // The table holds changes that may not be stored.
     jobs_follower_.set_options(FollowerPace());
     jobs_follower_.Reload();
@@ -336,8 +345,10 @@
   CallerFront<Platform, Port> front_;
   std::unique_ptr<Owner<Platform, Port>> owner_;
   std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
-  // Epoch of the last claim.
+  // Epoch of the last claim; 0 after it was lost.
   std::uint64_t epoch_ = 0;
+  // Sets this instance's epochs apart from others'; drawn anew for each claim, in case two agree.
+  std::uint64_t nonce_ = seed_;
   bool has_store_ = false;
   // Whether the peers were told where this instance serves.
   bool is_announced_ = false;
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -57,8 +57,12 @@
 
   void set_options(TopicFollowerOptions options) { options_ = options; }
 
-  /// @brief Loads the whole topic again once the read in progress has ended.
-  void Reload() { must_reload_ = true; }
+  /// @brief Loads the whole topic again once the read in progress has ended; it counts as not
+  /// loaded until then.
+  void Reload() {
+    must_reload_ = true;
+    is_loaded_ = false;
+  }
 
  private:
   static constexpr workload::Milliseconds kLoadTimeout{2'000};
@@ -132,6 +136,10 @@
       LoadPage({});
       return;
     }
+    if (must_reload_) {
+      LoadPage({});
+      return;
+    }
     auto batch = Platform::ParseRead(result, next_offset_);
     if (!batch) {
       Retry([this] { Read(); });
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -263,6 +263,34 @@
   EXPECT_TRUE(cluster.RunUntilState(kJob, "cancelled", Milliseconds(500)));
 }
 
+// Guards against two owners of one epoch: the store answers the second claim as a repeat of the
+// first, and then each owner's appends as repeats of the other's.
+TEST_F(EntryClusterTest, Claims_OfTheSameEpoch_LeaveOneOwner) {
+  StandInCluster cluster(3, 2, kRunTime, true);
+  EXPECT_EQ(cluster.OwnerCount(), 1);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(6'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
+// Guards against an owner that claims again with changes in memory that were never stored: ends
+// were acknowledged to their worker, and the tasks ran again under the next owner.
+TEST_F(EntryClusterTest, Owner_LostInAnOutageAndElectedAgain_ForgetsWhatWasNotStored) {
+  StandInCluster cluster(1, 1, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.store.RefuseAppends(true);
+  for (int n = 0; n < 20'000 && cluster.OwnerIndex(); ++n) {
+    cluster.RunFor(Milliseconds(1));
+  }
+  cluster.store.RefuseAppends(false);
+  cluster.RunFor(Milliseconds(2'000));
+  cluster.Kill(0);
+  cluster.Restart(0);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(20'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+}
+
 // Guards against a planned stop that leaves the gap of a kill.
 TEST_F(EntryClusterTest, Owner_ToldToStop_IsReplacedWithinASecond) {
   StandInCluster cluster(3, 1, kRunTime);
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -1,12 +1,15 @@
 #include "standin/standin_cluster.h"
 
+#include <algorithm>
 #include <set>
 
 namespace clementineloom::standin {
 
 using workload::Milliseconds;
 
-StandInCluster::StandInCluster(int instances, int worker_count, Milliseconds run_time) {
+StandInCluster::StandInCluster(int instances, int worker_count, Milliseconds run_time,
+                               bool same_seeds)
+    : same_seeds_(same_seeds) {
   for (int n = 0; n < worker_count; ++n) {
     const std::string number = std::to_string(n);
     workers.push_back(
@@ -140,7 +143,7 @@
                                              Deliver(id.value(), std::move(response));
                                            },
                                            [](bool) {}},
-                              ++last_seed_ * 37);
+                              same_seeds_ ? 37 : ++last_seed_ * 37);
   instance.state->Start();
   world.Serve(settings.listen,
               [this, index](const net::HttpRequest& request, SimWorld::Reply reply) {
@@ -148,6 +151,12 @@
               });
 }
 
+int StandInCluster::OwnerCount() const {
+  return static_cast<int>(std::count_if(
+      instances_.begin(), instances_.end(),
+      [](const Instance& it) { return it.state != nullptr && it.state->is_owner(); }));
+}
+
 std::optional<std::size_t> StandInCluster::OwnerIndex() const {
   for (std::size_t n = 0; n < instances_.size(); ++n) {
     if (instances_[n].state != nullptr && instances_[n].state->is_owner()) {
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -21,7 +21,9 @@
 class StandInCluster {
  public:
   /// @param run_time of every task
-  StandInCluster(int instances, int workers, workload::Milliseconds run_time);
+  /// @param same_seeds whether all instances draw the same random numbers
+  StandInCluster(int instances, int workers, workload::Milliseconds run_time,
+                 bool same_seeds = false);
 
   /// @brief Publishes a configuration with one queue for each of two priorities.
   void PublishConfig(std::uint64_t version);
@@ -45,7 +47,9 @@
   void Kill(std::size_t instance);
   /// @brief Starts an instance that was killed.
   void Restart(std::size_t instance);
-  /// @brief The instance that owns the workers, or nothing.
+  /// @brief Instances that own the workers, as far as they know.
+  [[nodiscard]] int OwnerCount() const;
+  /// @brief The first of them, or nothing.
   [[nodiscard]] std::optional<std::size_t> OwnerIndex() const;
 
   [[nodiscard]] SimPort& port(std::size_t instance) { return *instances_[instance].port; }
@@ -76,6 +80,7 @@
   void Handle(std::size_t instance, const net::HttpRequest& request, SimWorld::Reply reply);
   void Deliver(std::uint64_t exchange, net::HttpResponse response);
 
+  const bool same_seeds_;
   std::vector<Instance> instances_;
   std::uint32_t last_seed_ = 0;
   std::uint64_t last_exchange_ = 0;
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -45,7 +45,9 @@
     return;
   }
   const Query query = Query::Of(request.target);
-  if (query.path == "/log-append") {
+  if (query.path == "/log-append" && refuses_appends_) {
+    reply(Json(503, {}));
+  } else if (query.path == "/log-append") {
     Append(query, request.body, reply);
   } else if (query.path == "/log-read") {
     Read(query, std::move(reply));
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -35,6 +35,8 @@
 
   /// @brief All calls are answered with 503, and nothing is done, until Refuse(false).
   void Refuse(bool refuse) { refuses_ = refuse; }
+  /// @brief Appends are answered with 503, and reads go on, until RefuseAppends(false).
+  void RefuseAppends(bool refuse) { refuses_appends_ = refuse; }
   /// @brief So many of the next appends are carried out and get no answer.
   void LoseAppendAnswers(int count) { lost_appends_ = count; }
   /// @brief Forgets the records before the end of a topic; the newest of each key stay.
@@ -75,6 +77,7 @@
   SimWorld& world_;
   std::map<std::string, Topic> topics_;
   bool refuses_ = false;
+  bool refuses_appends_ = false;
   int lost_appends_ = 0;
 };
 
