--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/errors/run_state_name.h"
 #include "clementineloom/workload/job_table.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_call.h"
@@ -17,6 +18,7 @@
 #include "entry/operator/operator_view.h"
 #include "entry/port/call_port.h"
 #include "entry/store/appender.h"
+#include "logging/event_budget.h"
 #include "logging/event_log.h"
 #include "net/refusal_response.h"
 #include "net/server_request.h"
@@ -52,11 +54,12 @@
 
   void Handle(net::ServerRequest request) {
     if (PeerRouter<Port>::IsProbe(request.request)) {
-      hooks_.answer(request.id, PeerRouter<Port>::ProbeResponse(
-                                    hooks_.has_store() ? std::optional(ViewAge()) : std::nullopt));
+      Answer(request.id, PeerRouter<Port>::ProbeResponse(
+                             hooks_.has_store() ? std::optional(ViewAge()) : std::nullopt));
       return;
     }
     const CallerCall call = Platform::ParseCaller(request.request);
+    paths_.emplace(request.id, call.path);
     if (!operators_.config()) {
       Refuse(request.id, {ResultCode::kViewStale, RunState::kDidNotRun, "no configuration yet"});
       return;
@@ -69,7 +72,7 @@
     }
     const workload::TeamAccess* team = config.TeamOfKey(call.key);
     if (team == nullptr && !queue->is_public) {
-      hooks_.answer(request.id, Platform::UnauthorizedResponse());
+      Answer(request.id, Platform::UnauthorizedResponse());
       return;
     }
     Dispatch(request, call, *queue, team == nullptr ? std::string() : team->name);
@@ -91,16 +94,16 @@
   static constexpr workload::Milliseconds kMaxViewAge{2'400};
 
   void Dispatch(const net::ServerRequest& request, const CallerCall& call,
-                const workload::Queue& queue, std::string team) {
+                const workload::Queue& queue, const std::string& team) {
     const std::string id = call.path.substr(queue.path_prefix.size());
     if (call.kind == CallKind::kRead && id.empty()) {
-      hooks_.answer(request.id, Platform::QueueResponse(jobs_.PendingCount(queue.name)));
+      Answer(request.id, Platform::QueueResponse(jobs_.PendingCount(queue.name)));
     } else if (!Platform::IsJobId(id)) {
       Refuse(request.id, {ResultCode::kMalformedRequest, RunState::kDidNotRun, "job id"});
     } else if (call.kind == CallKind::kRead) {
       Show(request, id);
     } else if (call.kind == CallKind::kSubmit) {
-      Submit(request, call, queue, std::move(team), id);
+      Submit(request, call, queue, team, id);
     } else if (call.kind == CallKind::kCancel) {
       Cancel(request, call, id);
     } else {
@@ -111,7 +114,7 @@
   void Show(const net::ServerRequest& request, const std::string& id) {
     const workload::JobEntry* job = jobs_.Find(id);
     if (job != nullptr && job->submission) {
-      hooks_.answer(request.id, Platform::StateResponse(job->State()));
+      Answer(request.id, Platform::StateResponse(job->State()));
       return;
     }
     const auto read_at = hooks_.jobs_read_at();
@@ -119,14 +122,14 @@
       HandOn(request, {ResultCode::kViewStale, RunState::kDidNotRun, "jobs not read of late"});
       return;
     }
-    hooks_.answer(request.id, Platform::NoSuchJobResponse());
+    Answer(request.id, Platform::NoSuchJobResponse());
   }
 
   void Submit(const net::ServerRequest& request, const CallerCall& call,
-              const workload::Queue& queue, std::string team, const std::string& id) {
+              const workload::Queue& queue, const std::string& team, const std::string& id) {
     const workload::JobEntry* known = jobs_.Find(id);
     if (known != nullptr && known->submission) {
-      hooks_.answer(request.id, Platform::AcceptedResponse());
+      Answer(request.id, Platform::AcceptedResponse());
       return;
     }
     auto submission = Platform::ParseJob(request.request.body);
@@ -136,7 +139,7 @@
     }
     submission->id = id;
     submission->queue = queue;
-    submission->team = std::move(team);
+    submission->team = team;
     submission->accepted_at_ms = port_.UnixNowMs();
     Record(request, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted", id);
   }
@@ -144,7 +147,7 @@
   void Cancel(const net::ServerRequest& request, const CallerCall& call, const std::string& id) {
     const workload::JobEntry* job = jobs_.Find(id);
     if (job != nullptr && (job->is_cancelled || job->end)) {
-      hooks_.answer(request.id, Platform::AcceptedResponse());
+      Answer(request.id, Platform::AcceptedResponse());
       return;
     }
     Record(request, call, workload::CancellationSet{id, true}, "job_cancelled", id);
@@ -167,7 +170,7 @@
                    [this, exchange = request.id, refusal = std::move(refusal)](
                        std::optional<net::HttpResponse> response, bool may_have_run) {
                      if (response) {
-                       hooks_.answer(exchange, std::move(*response));
+                       Answer(exchange, std::move(*response));
                      } else if (may_have_run) {
                        Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun,
                                          "no answer of peers"});
@@ -209,7 +212,7 @@
     }
     if (waiting_.erase(exchange) > 0) {
       if (is_recorded) {
-        hooks_.answer(exchange, Platform::AcceptedResponse());
+        Answer(exchange, Platform::AcceptedResponse());
       } else if (status == AppendStatus::kRefused) {
         RefuseForNow(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun,
                                 "the store did not take the record"});
@@ -231,7 +234,7 @@
                    [this, exchange = request.id](std::optional<net::HttpResponse> response, bool) {
                      const bool is_success = response && response->status < kFirstErrorStatus;
                      if (is_success && waiting_.erase(exchange) > 0) {
-                       hooks_.answer(exchange, std::move(*response));
+                       Answer(exchange, std::move(*response));
                      }
                    });
   }
@@ -248,15 +251,38 @@
 
   // Sends the caller to another instance, after a pause.
   void RefuseForNow(net::ExchangeId exchange, const Refusal& refusal) {
+    LogRefusal(exchange, refusal);
     net::HttpResponse response = net::RefusalResponse(refusal);
     response.headers =
         response.headers.With("Retry-After", std::to_string(kRetryAfterOutage.count()));
     response.closes_connection = true;
-    hooks_.answer(exchange, std::move(response));
+    Answer(exchange, std::move(response));
   }
 
   void Refuse(net::ExchangeId exchange, const Refusal& refusal) {
-    hooks_.answer(exchange, net::RefusalResponse(refusal));
+    LogRefusal(exchange, refusal);
+    Answer(exchange, net::RefusalResponse(refusal));
+  }
+
+  void LogRefusal(net::ExchangeId exchange, const Refusal& refusal) {
+    const auto path = paths_.find(exchange);
+    const std::string target = path == paths_.end() ? std::string() : path->second;
+    if (!refusal_budget_.Allow(port_.Now())) {
+      return;
+    }
+    logging::LogEvent(logging::LogLevel::kInfo, "request_refused",
+                      {{"path", target},
+                       {"code", static_cast<int>(refusal.code)},
+                       {"run_state", RunStateName(refusal.run_state)},
+                       {"detail", refusal.detail},
+                       {"view_age_ms", ViewAge().count()},
+                       {"config_version", operators_.config() ? operators_.config()->version : 0},
+                       {"left_out", refusal_budget_.TakeLeftOut()}});
+  }
+
+  void Answer(net::ExchangeId exchange, net::HttpResponse response) {
+    paths_.erase(exchange);
+    hooks_.answer(exchange, std::move(response));
   }
 
   Port& port_;
@@ -265,6 +291,11 @@
   Appender<Platform, Port>& appender_;
   PeerRouter<Port>& peers_;
   const Hooks hooks_;
+  // Refusals that are logged in a second; more would cost the decisions their time.
+  static constexpr std::uint32_t kRefusalLines = 20;
+  logging::EventBudget refusal_budget_{kRefusalLines};
+  // Path of each request that is not answered yet.
+  std::map<net::ExchangeId, std::string> paths_;
   // Job of each request that waits for the store.
   std::map<net::ExchangeId, std::string> waiting_;
 };
--- a/src/entry/decision_duty.h
+++ b/src/entry/decision_duty.h
@@ -40,7 +40,7 @@
     state_.Start();
     while (!events_.closed()) {
       if (auto event = NextEvent()) {
-        std::visit([this](auto& it) { Handle(std::move(it)); }, *event);
+        std::visit([this](auto& it) { this->Handle(std::move(it)); }, *event);
       }
       port_.timers().RunDue(port_.Now());
     }
@@ -60,7 +60,7 @@
   }
 
   void Handle(net::ServerRequest request) { state_.OnRequest(std::move(request)); }
-  void Handle(net::ClientResult result) { port_.Deliver(result); }
+  void Handle(const net::ClientResult& result) { port_.Deliver(result); }
   void Handle(StopRequested) { state_.OnStop(); }
 
   BoundedRing<EntryEvent>& events_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -294,20 +294,20 @@
     OwnerOptions options;
     options.instance = settings_.instance;
     options.epoch = epoch_;
-    options.lease = std::min(kLease, workload::Milliseconds(settings_.max_lease_ms) - kLeaseMargin);
-    options.stop_timeout = workload::Milliseconds(settings_.stop_timeout_ms);
-    options.retention = std::chrono::seconds(settings_.state_retention_s);
+    options.lease = std::min(kLease, workload::Milliseconds{settings_.max_lease_ms} - kLeaseMargin);
+    options.stop_timeout = workload::Milliseconds{settings_.stop_timeout_ms};
+    options.retention = std::chrono::seconds{settings_.state_retention_s};
     options.advice_address = settings_.advice;
     owner_ = std::make_unique<Owner<Platform, Port>>(
         port_, jobs_, operators_,
         std::make_unique<Appender<Platform, Port>>(port_, jobs_topic_, appends), options,
         [this] { OnOwnershipLost(); });
     jobs_follower_.set_options(OwnerPace());
+    typename WorkerDirectory<Platform, Port>::Sink sink;
+    sink.on_worker = [this](const workload::WorkerInfo& it) { owner_->OnWorker(it); };
+    sink.on_gone = [this](const std::string& id) { owner_->OnWorkerGone(id); };
     directory_ = std::make_unique<WorkerDirectory<Platform, Port>>(
-        port_, StoreEndpoint{settings_.store, Platform::kWorkerTopic},
-        typename WorkerDirectory<Platform, Port>::Sink{
-            [this](const workload::WorkerInfo& it) { owner_->OnWorker(it); },
-            [this](const std::string& id) { owner_->OnWorkerGone(id); }});
+        port_, StoreEndpoint{settings_.store, Platform::kWorkerTopic}, std::move(sink));
     owner_->Start();
     directory_->Start();
   }
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -152,7 +152,7 @@
   }
 
   // Applies records at once and calls back when they are stored.
-  void Append(Records records, std::function<void()> stored) {
+  void Append(const Records& records, std::function<void()> stored) {
     std::vector<workload::KeyedValue> items;
     for (const workload::WorkloadRecord& it : records) {
       jobs_.Apply(it);
@@ -313,6 +313,7 @@
   void RecordStarts(std::vector<workload::PlannedStart> starts) {
     Records records;
     for (const workload::PlannedStart& it : starts) {
+      LogFirstStart(it);
       const workload::TaskId& task = it.run.run.task;
       const workload::TaskRecord& last = jobs_.Find(task.step.job)->Task(task);
       workload::TaskRecord record{workload::TaskPhase::kPlaced, it.run.run.run, it.worker,
@@ -320,13 +321,33 @@
       records.push_back(workload::TaskSet{task, std::move(record)});
       workers_[it.worker].Add(it.run);
     }
-    Append(std::move(records), [this, starts = std::move(starts)] {
+    Append(records, [this, starts = std::move(starts)] {
       for (const workload::PlannedStart& it : starts) {
         OrderRecordedStart(it);
       }
     });
   }
 
+  void LogFirstStart(const workload::PlannedStart& start) {
+    const workload::TaskId& task = start.run.run.task;
+    const workload::JobEntry& job = *jobs_.Find(task.step.job);
+    if (start.run.run.run > 1) {
+      logging::LogEvent(logging::LogLevel::kInfo, "task_run_again",
+                        {{"task", codec::TaskName(task)},
+                         {"run", start.run.run.run},
+                         {"worker", start.worker},
+                         {"epoch", options_.epoch}});
+    } else if (task.step.step == 0 && task.index == 0) {
+      const std::int64_t due_at_ms = job.submission->DueAtMs(task.step.occurrence);
+      logging::LogEvent(logging::LogLevel::kInfo, "job_started",
+                        {{"job", task.step.job},
+                         {"occurrence", task.step.occurrence},
+                         {"worker", start.worker},
+                         {"waited_ms", port_.UnixNowMs() - due_at_ms},
+                         {"epoch", options_.epoch}});
+    }
+  }
+
   void OrderRecordedStart(const workload::PlannedStart& start) {
     workload::PlacedRun* run = FindRun(start.worker, start.run.run);
     if (run == nullptr || run->stage != workload::RunStage::kRecording) {
@@ -658,7 +679,7 @@
       return;
     }
     link.is_recording_ends = true;
-    Append(std::move(records), [this, id, last_end] {
+    Append(records, [this, id, last_end] {
       WorkerLink& stored = links_[id];
       stored.is_recording_ends = false;
       stored.acknowledged_end = std::max(stored.acknowledged_end, last_end);
@@ -771,7 +792,7 @@
     for (const workload::PlacedRun& it : lost) {
       TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
     }
-    Append(std::move(records), [] {});
+    Append(records, [] {});
     if (!worker.is_listed) {
       DropWorker(id);
     }
@@ -788,6 +809,14 @@
 
   void TakeEnd(const std::string& worker, const workload::TaskRun& run, workload::EndReason reason,
                const std::string& checkpoint, Records& records) {
+    if (reason != workload::EndReason::kDone) {
+      logging::LogEvent(logging::LogLevel::kInfo, "run_ended",
+                        {{"task", codec::TaskName(run.task)},
+                         {"run", run.run},
+                         {"worker", worker},
+                         {"reason", static_cast<int>(reason)},
+                         {"checkpoint", checkpoint}});
+    }
     workers_[worker].Remove(run);
     NoteWorkerHealth(worker, run, reason);
     const workload::RunOutcome outcome =
@@ -806,8 +835,9 @@
   }
 
   void OnJobEnded(const std::string& job, workload::JobState state) {
-    logging::LogEvent(logging::LogLevel::kInfo, "job_ended",
-                      {{"job", job}, {"state", static_cast<int>(state)}});
+    logging::LogEvent(
+        logging::LogLevel::kInfo, "job_ended",
+        {{"job", job}, {"state", static_cast<int>(state)}, {"epoch", options_.epoch}});
     StopRunsOf(job);
   }
 
@@ -890,7 +920,7 @@
       it = ended_since_.erase(it);
     }
     if (!records.empty()) {
-      Append(std::move(records), [] {});
+      Append(records, [] {});
     }
   }
 
--- a/src/workload/run_stall.cc
+++ b/src/workload/run_stall.cc
@@ -10,6 +10,8 @@
 constexpr std::int64_t kShareOfEstimate = 12;
 // Start and restore show no progress either.
 constexpr Milliseconds kShortest{1'500};
+// The members of a gang wait for each other before they begin.
+constexpr Milliseconds kGangWait{3'000};
 
 }  // namespace
 
@@ -18,8 +20,10 @@
   if (spec.runs_until_cancelled || run.progress_percent >= kWhole || run.pace_percent < kWhole) {
     return false;
   }
+  const bool may_wait_for_others = spec.is_gang && run.progress_percent == 0;
   const Milliseconds patience =
-      std::max(kShortest, Milliseconds(spec.estimate_ms / kShareOfEstimate));
+      std::max(kShortest, Milliseconds(spec.estimate_ms / kShareOfEstimate)) +
+      (may_wait_for_others ? kGangWait : Milliseconds(0));
   return now - run.progressed_at >= patience;
 }
 
--- a/tests/docs/configuration_doc_test.cc
+++ b/tests/docs/configuration_doc_test.cc
@@ -42,6 +42,7 @@
   EXPECT_EQ(Table("Both daemons"), Rows(SpecsOf(CommonFields())));
   EXPECT_EQ(Table("loom-gateway"), Rows(SpecsOf(GatewayFields())));
   EXPECT_EQ(Table("loom-scheduler"), Rows(SpecsOf(SchedulerFields())));
+  EXPECT_EQ(Table("loom-entry"), Rows(SpecsOf(EntryFields())));
   EXPECT_EQ(Table("Cluster document"), Rows(ClusterKeys()));
   EXPECT_EQ(Table("data_centres"), Rows(DataCentreKeys()));
   EXPECT_EQ(Table("worker_shapes"), Rows(WorkerShapeKeys()));
--- /dev/null
+++ b/tests/workload/owner_election_test.cc
@@ -0,0 +1,95 @@
+#include "clementineloom/workload/owner_election.h"
+
+#include <gtest/gtest.h>
+
+#include "clementineloom/workload/owner_contact.h"
+#include "clementineloom/workload/worker_lease.h"
+
+namespace clementineloom::workload {
+namespace {
+
+class OwnerElectionTest : public testing::Test {
+ protected:
+  // Reads the stream all the time up to a moment.
+  void ReadUntil(OwnerElection& election, Milliseconds moment) {
+    for (; now_ < SteadyTime() + moment; now_ += Milliseconds(100)) {
+      election.OnRead(now_);
+    }
+  }
+
+  SteadyTime now_ = SteadyTime() + Milliseconds(1'000);
+  OwnerElection election_{"me", 0.0};
+};
+
+// Guards against a claim before the stream was read.
+TEST_F(OwnerElectionTest, MayClaim_BeforeTheFirstRead_IsFalse) {
+  EXPECT_FALSE(election_.MayClaim(now_));
+  election_.OnRead(now_);
+  EXPECT_TRUE(election_.MayClaim(now_));
+}
+
+// Guards against an owner that is replaced while it is alive, or never.
+TEST_F(OwnerElectionTest, MayClaim_AfterTheSilenceOfAnother_IsTrue) {
+  election_.OnRead(now_);
+  election_.OnOwner({1, "other", OwnerPhase::kActive}, now_);
+  ReadUntil(election_, Milliseconds(2'300));
+  EXPECT_FALSE(election_.MayClaim(now_));
+  ReadUntil(election_, Milliseconds(2'500));
+  EXPECT_TRUE(election_.MayClaim(now_));
+}
+
+// Guards against an owner that is replaced because the store was away for all.
+TEST_F(OwnerElectionTest, MayClaim_AfterAnOutage_GivesTheOwnerItsTimeAgain) {
+  election_.OnRead(now_);
+  election_.OnOwner({1, "other", OwnerPhase::kActive}, now_);
+  election_.OnReadFailed();
+  now_ += Milliseconds(10'000);
+  EXPECT_FALSE(election_.MayClaim(now_));
+  election_.OnRead(now_);
+  EXPECT_FALSE(election_.MayClaim(now_));
+}
+
+// Guards against the gap of a kill at a planned stop, and after a restart of the owner itself.
+TEST_F(OwnerElectionTest, MayClaim_AfterResignationOrOwnRestart_IsTrueAtOnce) {
+  election_.OnRead(now_);
+  election_.OnOwner({1, "other", OwnerPhase::kResigned}, now_);
+  EXPECT_TRUE(election_.MayClaim(now_));
+  election_.OnOwner({2, "me", OwnerPhase::kActive}, now_);
+  EXPECT_TRUE(election_.MayClaim(now_));
+}
+
+// Guards against a store that is asked ten times a second while it refuses.
+TEST_F(OwnerElectionTest, MayClaim_AfterAFailedClaim_WaitsAWhile) {
+  election_.OnRead(now_);
+  election_.OnClaimFailed(now_);
+  EXPECT_FALSE(election_.MayClaim(now_));
+  EXPECT_TRUE(election_.MayClaim(now_ + OwnerElection::kClaimPause));
+}
+
+// Guards against epochs that do not rise, or that two instances share.
+TEST_F(OwnerElectionTest, NextEpoch_AfterAnOwner_IsHigherAndDiffersByNonce) {
+  const std::uint64_t first = election_.NextEpoch(7);
+  election_.OnOwner({first, "other", OwnerPhase::kActive}, now_);
+  EXPECT_GT(election_.NextEpoch(0), first);
+  EXPECT_NE(election_.NextEpoch(1), election_.NextEpoch(2));
+}
+
+// Guards against an owner that stops in an outage of the store for all, or goes on in a minority.
+TEST_F(OwnerElectionTest, Contact_WithoutTheStore_NeedsTheMajorityOfWorkers) {
+  EXPECT_TRUE(OwnerContact::MayGoOn(Milliseconds(1'000), 0, 10));
+  EXPECT_TRUE(OwnerContact::MayGoOn(Milliseconds(9'000), 6, 10));
+  EXPECT_FALSE(OwnerContact::MayGoOn(Milliseconds(9'000), 5, 10));
+  EXPECT_FALSE(OwnerContact::MayGoOn(OwnerContact::kMaxUnconfirmed + Milliseconds(1), 10, 10));
+}
+
+// Guards against a lease that is taken for over while a slow clock still runs.
+TEST_F(OwnerElectionTest, Lease_OnASlowClock_EndsLaterThanItsLength) {
+  WorkerLease lease;
+  EXPECT_FALSE(lease.Grant(Milliseconds(5'000), now_).has_value());
+  lease.OnClock(70'000, now_);
+  EXPECT_EQ(lease.Grant(Milliseconds(5'000), now_ + Milliseconds(100)), 75'100);
+  EXPECT_GT(*lease.SurelyEndedAt(), now_ + Milliseconds(5'200));
+}
+
+}  // namespace
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/tests/workload/run_stall_test.cc
@@ -0,0 +1,57 @@
+#include "clementineloom/workload/run_stall.h"
+
+#include <gtest/gtest.h>
+
+namespace clementineloom::workload {
+namespace {
+
+class RunStallTest : public testing::Test {
+ protected:
+  RunStallTest() {
+    run_.progress_percent = 40;
+    run_.progressed_at = start_;
+    spec_.estimate_ms = 2'000;
+  }
+
+  const SteadyTime start_ = SteadyTime() + Milliseconds(5'000);
+  StepSpec spec_;
+  PlacedRun run_;
+};
+
+// Guards against tasks that wait on a hanging worker until the hang ends.
+TEST_F(RunStallTest, Run_WithoutProgress_HasStalledAfterAWhile) {
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(1'400)));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(1'500)));
+}
+
+// Guards against long tasks that are stopped because a percent of them takes long.
+TEST_F(RunStallTest, Run_OfALongTask_GetsMoreTime) {
+  spec_.estimate_ms = 60'000;
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'900)));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(5'000)));
+}
+
+// Guards against gangs that are stopped while their members wait for each other.
+TEST_F(RunStallTest, Run_OfAGangThatHasNotBegun_GetsTheTimeOfTheOthers) {
+  spec_.is_gang = true;
+  run_.progress_percent = 0;
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'400)));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(4'500)));
+}
+
+// Guards against tasks without progress of their own being stopped.
+TEST_F(RunStallTest, Run_ThatServesOrIsDoneOrPaced_HasNotStalled) {
+  const SteadyTime late = start_ + Milliseconds(60'000);
+  StepSpec service = spec_;
+  service.runs_until_cancelled = true;
+  EXPECT_FALSE(HasStalled(service, run_, late));
+  PlacedRun done = run_;
+  done.progress_percent = 100;
+  EXPECT_FALSE(HasStalled(spec_, done, late));
+  PlacedRun paced = run_;
+  paced.pace_percent = 50;
+  EXPECT_FALSE(HasStalled(spec_, paced, late));
+}
+
+}  // namespace
+}  // namespace clementineloom::workload
--- /dev/null
+++ b/tests/workload/task_planner_test.cc
@@ -0,0 +1,232 @@
+#include "clementineloom/workload/task_planner.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace clementineloom::workload {
+namespace {
+
+class TaskPlannerTest : public testing::Test {
+ protected:
+  static constexpr Resources kCapacity{8'000, 1'000, 8};
+
+  void AddWorker(const std::string& id, const std::string& rack, const std::string& kind = "a") {
+    PoolWorker worker;
+    worker.info.id = id;
+    worker.info.service = "inspect";
+    worker.info.rack = rack;
+    worker.info.data_centre = "dc-" + rack;
+    worker.info.labels = {kind, rack};
+    worker.info.capacity = kCapacity;
+    worker.is_attached = true;
+    workers_[id] = worker;
+  }
+  static StepSpec Step(std::uint32_t tasks, std::int64_t accelerators) {
+    StepSpec step;
+    step.task_count = tasks;
+    step.per_task = {100, 10, accelerators};
+    return step;
+  }
+  void Submit(const std::string& id, StepSpec step, std::uint32_t priority = 1,
+              std::int64_t accepted_at_ms = 0) {
+    JobSubmission submission;
+    submission.id = id;
+    submission.queue.service = "inspect";
+    submission.queue.priority = priority;
+    submission.accepted_at_ms = accepted_at_ms;
+    submission.steps = {std::move(step)};
+    jobs_.Apply(SubmissionSet{id, submission});
+  }
+  StartPlan Plan(std::int64_t unix_now_ms = 100'000) {
+    return PlanStarts({jobs_, workers_, evacuated_, blocked_, advice_, now_, unix_now_ms});
+  }
+  // Puts the starts of a plan on their workers.
+  void Carry(const StartPlan& plan) {
+    for (const PlannedStart& it : plan.starts) {
+      PlacedRun run = it.run;
+      run.stage = RunStage::kRunning;
+      workers_[it.worker].Add(run);
+      blocked_.insert(it.run.run.task);
+    }
+  }
+
+  JobTable jobs_;
+  WorkerPool workers_;
+  std::set<std::string> evacuated_;
+  std::set<TaskId> blocked_;
+  AdviceBook advice_;
+  SteadyTime now_ = SteadyTime() + Milliseconds(1'000'000);
+};
+
+// Guards against room that is given away twice in one plan.
+TEST_F(TaskPlannerTest, Tasks_MoreThanFit_StayWithinCapacity) {
+  AddWorker("w1", "r1");
+  Submit("job", Step(20, 1));
+  EXPECT_EQ(Plan().starts.size(), 8U);
+}
+
+// Guards against large tasks that find no whole worker because small ones were spread.
+TEST_F(TaskPlannerTest, Tasks_OfAFewAccelerators_ArePackedOnOneWorker) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  Submit("small", Step(4, 1));
+  Carry(Plan());
+  Submit("large", Step(1, 8));
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
+// Guards against half a gang that waits and holds its room.
+TEST_F(TaskPlannerTest, Gang_ThatDoesNotFitWhole_StartsNothing) {
+  AddWorker("w1", "r1");
+  StepSpec gang = Step(3, 4);
+  gang.is_gang = true;
+  Submit("gang", gang);
+  EXPECT_TRUE(Plan().starts.empty());
+  AddWorker("w2", "r1");
+  EXPECT_EQ(Plan().starts.size(), 3U);
+}
+
+// Guards against a gang over two racks while one rack has room for it.
+TEST_F(TaskPlannerTest, Gang_ThatPrefersOneRack_StaysOnOne) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  AddWorker("w3", "r2");
+  StepSpec gang = Step(2, 8);
+  gang.is_gang = true;
+  gang.prefers_one_rack = true;
+  Submit("gang", gang);
+  const StartPlan plan = Plan();
+  ASSERT_EQ(plan.starts.size(), 2U);
+  EXPECT_EQ(workers_[plan.starts[0].worker].info.rack, "r2");
+  EXPECT_EQ(workers_[plan.starts[1].worker].info.rack, "r2");
+}
+
+// Guards against starts without the label, beyond the spread or out of service.
+TEST_F(TaskPlannerTest, Workers_WithoutLabelOrOutOfService_AreNotUsed) {
+  AddWorker("w1", "r1", "a");
+  AddWorker("w2", "r2", "b");
+  AddWorker("w3", "r3", "b");
+  evacuated_.insert("dc-r3");
+  StepSpec step = Step(3, 1);
+  step.required_label = "b";
+  step.max_per_worker = 2;
+  Submit("job", step);
+  const StartPlan plan = Plan();
+  ASSERT_EQ(plan.starts.size(), 2U);
+  EXPECT_EQ(plan.starts[0].worker, "w2");
+  EXPECT_EQ(plan.starts[1].worker, "w2");
+}
+
+// Guards against tasks far from their data while there is room near it.
+TEST_F(TaskPlannerTest, Task_WithDataOnARack_WaitsForItThenGoesElsewhere) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  Submit("full", Step(1, 8));
+  StepSpec near = Step(1, 8);
+  near.data_rack = "r1";
+  Carry(Plan());
+  const std::string taken = workers_["w1"].runs.empty() ? "r2" : "r1";
+  near.data_rack = taken;
+  near.estimate_ms = 2'000;
+  Submit("near", near, 1, 100'000);
+  EXPECT_TRUE(Plan(100'500).starts.empty());
+  EXPECT_EQ(Plan(102'500).starts.size(), 1U);
+}
+
+// Guards against priority 0 that waits, and against more victims than it needs.
+TEST_F(TaskPlannerTest, Urgent_WhenFull_StopsTheCheapestRuns) {
+  AddWorker("w1", "r1");
+  Submit("old", Step(4, 1), 2);
+  Carry(Plan());
+  now_ += Milliseconds(5'000);
+  Submit("young", Step(4, 1), 2);
+  Carry(Plan());
+  now_ += Milliseconds(1'000);
+  Submit("urgent", Step(1, 2), 0);
+  const StartPlan plan = Plan();
+  EXPECT_TRUE(plan.starts.empty());
+  ASSERT_EQ(plan.preemptions.size(), 2U);
+  EXPECT_EQ(plan.preemptions[0].run.task.step.job, "young");
+  EXPECT_EQ(plan.preemptions[1].run.task.step.job, "young");
+}
+
+// Guards against victims that are stopped again in every plan until the first have ended.
+TEST_F(TaskPlannerTest, Urgent_WhileItsVictimsEnd_StopsNoMore) {
+  AddWorker("w1", "r1");
+  Submit("bulk", Step(8, 1), 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 2), 0);
+  for (const Preemption& it : Plan().preemptions) {
+    workers_["w1"].runs.at(it.run).stage = RunStage::kStopping;
+  }
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
+// Guards against the room of stopped runs going to less urgent tasks.
+TEST_F(TaskPlannerTest, Bulk_WhileUrgentWorkWaitsForRoom_GetsNoneOfIt) {
+  AddWorker("w1", "r1");
+  Submit("bulk", Step(8, 1), 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 4), 0);
+  const StartPlan plan = Plan();
+  ASSERT_EQ(plan.preemptions.size(), 4U);
+  for (const Preemption& it : plan.preemptions) {
+    workers_["w1"].runs.at(it.run).stage = RunStage::kStopping;
+  }
+  workers_["w1"].Remove(plan.preemptions[0].run);
+  Submit("more", Step(4, 1), 2);
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
+// Guards against tasks that serve users being stopped for batch work.
+TEST_F(TaskPlannerTest, Urgent_WhenOnlyServiceTasksRun_StopsNone) {
+  AddWorker("w1", "r1");
+  StepSpec service = Step(8, 1);
+  service.runs_until_cancelled = true;
+  Submit("service", service, 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 2), 0);
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
+// Guards against starts that the workers refuse for want of a ticket.
+TEST_F(TaskPlannerTest, Queue_ThatNeedsAdvice_AsksFirstAndUsesApprovedWorkersOnly) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  JobSubmission submission;
+  submission.id = "job";
+  submission.queue.service = "inspect";
+  submission.queue.needs_advice = true;
+  submission.steps = {Step(1, 1)};
+  jobs_.Apply(SubmissionSet{"job", submission});
+  const StartPlan asking = Plan();
+  EXPECT_TRUE(asking.starts.empty());
+  ASSERT_TRUE(asking.question.has_value());
+  EXPECT_EQ(asking.question->workers.size(), 2U);
+  advice_.NoteAsked(asking.question->step, asking.question->workers);
+  advice_.Add(asking.question->step, {{"w2", "ticket", SteadyTime::max()}});
+  const StartPlan plan = Plan();
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.starts[0].worker, "w2");
+  EXPECT_EQ(plan.starts[0].ticket, "ticket");
+}
+
+// Guards against occurrences that start before their time.
+TEST_F(TaskPlannerTest, Occurrence_BeforeItsTime_DoesNotStart) {
+  AddWorker("w1", "r1");
+  JobSubmission submission;
+  submission.id = "job";
+  submission.queue.service = "inspect";
+  submission.steps = {Step(1, 1)};
+  submission.occurrences = 2;
+  submission.first_run_at_ms = 100'000;
+  submission.interval_ms = 1'000;
+  jobs_.Apply(SubmissionSet{"job", submission});
+  EXPECT_TRUE(Plan(99'999).starts.empty());
+  EXPECT_EQ(Plan(100'000).starts.size(), 1U);
+  EXPECT_EQ(Plan(101'000).starts.size(), 2U);
+}
+
+}  // namespace
+}  // namespace clementineloom::workload
