--- /dev/null
+++ b/src/entry/owner/owner_core.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/advice_book.h"
+#include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/worker_pool.h"
+#include "codec/workload_record_codec.h"
+#include "entry/operator/operator_view.h"
+#include "entry/owner/owner_options.h"
+#include "entry/owner/worker_link.h"
+#include "entry/port/call_port.h"
+#include "entry/port/life_guard.h"
+#include "entry/store/appender.h"
+#include "entry/worker/order_answer.h"
+#include "logging/event_log.h"
+
+namespace clementineloom::entry {
+
+/// @brief What the parts of an owner share: the workers, the jobs, and the way to record changes.
+///
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class OwnerCore {
+ public:
+  using Records = std::vector<workload::WorkloadRecord>;
+
+  /// @param lost runs once when ownership is lost
+  OwnerCore(Port& it, workload::JobTable& table, const OperatorView& view,
+            std::unique_ptr<Appender<Platform, Port>> records, OwnerOptions bounds,
+            std::function<void()> lost)
+      : port(it),
+        jobs(table),
+        operators(view),
+        options(std::move(bounds)),
+        confirmed_at(it.Now()),
+        appender_(std::move(records)),
+        on_lost_(std::move(lost)) {}
+
+  /// @brief Appends whose outcome is not known yet.
+  [[nodiscard]] std::size_t backlog() const { return appender_->backlog(); }
+
+  /// @brief Wraps an action that must not run once the owner is gone or lost.
+  template <class Action>
+  auto Guard(Action action) {
+    return life_.Wrap([this, action = std::move(action)](auto&&... args) {
+      if (!is_lost) {
+        action(std::forward<decltype(args)>(args)...);
+      }
+    });
+  }
+
+  /// @brief Ends the ownership; what it decided and the store did not take is void.
+  void Lose(std::string_view reason) {
+    if (is_lost) {
+      return;
+    }
+    is_lost = true;
+    logging::LogEvent(logging::LogLevel::kWarning, "ownership_lost",
+                      {{"epoch", options.epoch}, {"reason", reason}});
+    on_lost_();
+  }
+
+  /// @brief Applies records at once and calls back when they are stored.
+  void Append(const Records& records, std::function<void()> stored) {
+    std::vector<workload::KeyedValue> items;
+    for (const workload::WorkloadRecord& it : records) {
+      jobs.Apply(it);
+      items.push_back(codec::EncodeWorkloadRecord(it));
+    }
+    appender_->Append(std::move(items),
+                      Guard([this, stored = std::move(stored)](AppendStatus status) {
+                        if (status == AppendStatus::kAppended) {
+                          confirmed_at = port.Now();
+                          stored();
+                        } else {
+                          Lose("the store refused the epoch");
+                        }
+                      }));
+  }
+
+  /// @brief A run that holds room on a worker, or null.
+  [[nodiscard]] workload::PlacedRun* FindRun(const std::string& worker,
+                                             const workload::TaskRun& run) {
+    const auto it = workers.find(worker);
+    if (it == workers.end()) {
+      return nullptr;
+    }
+    const auto placed = it->second.runs.find(run);
+    return placed == it->second.runs.end() ? nullptr : &placed->second;
+  }
+
+  /// @brief Notes the clock that a worker's answer shows.
+  void NoteClock(const std::string& worker, const OrderAnswer& answer) {
+    if (answer.clock_ms) {
+      links[worker].lease.OnClock(*answer.clock_ms, port.Now());
+    }
+  }
+
+  /// @brief Places no new runs on a worker for a while.
+  void Rest(const std::string& worker, workload::Milliseconds time) {
+    workload::PoolWorker& it = workers[worker];
+    it.usable_from = std::max(it.usable_from, port.Now() + time);
+  }
+
+  /// @brief Forgets a worker. Precondition: it holds no runs.
+  void DropWorker(const std::string& id) {
+    workers.erase(id);
+    links.erase(id);
+  }
+
+  Port& port;
+  workload::JobTable& jobs;
+  const OperatorView& operators;
+  const OwnerOptions options;
+  workload::WorkerPool workers;
+  std::map<std::string, WorkerLink> links;
+  workload::AdviceBook advice;
+  /// Last acknowledged append.
+  workload::SteadyTime confirmed_at;
+  /// Asks a worker for its lists, and makes a plan; set by the owner before anything runs.
+  std::function<void(const std::string&)> call_worker;
+  std::function<void()> plan_soon;
+  /// Nothing more is placed.
+  bool is_resigning = false;
+  bool is_lost = false;
+
+ private:
+  std::unique_ptr<Appender<Platform, Port>> appender_;
+  const std::function<void()> on_lost_;
+  LifeGuard life_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/owner/run_ends.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clementineloom/workload/run_outcome.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/owner/worker_orders.h"
+
+namespace clementineloom::entry {
+
+/// @brief Takes note of the ends of runs: gives their room back, and decides what follows for the
+/// task, its job and the worker. Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class RunEnds {
+ public:
+  using Records = typename OwnerCore<Platform, Port>::Records;
+
+  RunEnds(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
+      : core_(core), orders_(orders) {}
+
+  /// @brief Takes an end. Adds to the records, which the caller appends.
+
+  void TakeEnd(const std::string& worker, const workload::TaskRun& run, workload::EndReason reason,
+               const std::string& checkpoint, Records& records) {
+    if (reason != workload::EndReason::kDone) {
+      logging::LogEvent(logging::LogLevel::kInfo, "run_ended",
+                        {{"task", codec::TaskName(run.task)},
+                         {"run", run.run},
+                         {"worker", worker},
+                         {"reason", static_cast<int>(reason)},
+                         {"checkpoint", checkpoint}});
+    }
+    core_.workers[worker].Remove(run);
+    NoteWorkerHealth(worker, run, reason);
+    const workload::RunOutcome outcome =
+        workload::OutcomeOf(core_.jobs, worker, run, reason, checkpoint);
+    for (const workload::WorkloadRecord& it : outcome.records) {
+      // Later ends of the same list build on this one.
+      core_.jobs.Apply(it);
+      records.push_back(it);
+    }
+    if (outcome.breaks_gang) {
+      orders_.BreakGang(run);
+    }
+    if (outcome.ended_job) {
+      OnJobEnded(run.task.step.job, *outcome.ended_job);
+    }
+  }
+
+  /// @brief Ends and records all runs of a worker whose lease or life is over.
+  void LoseRuns(const std::string& id, std::string_view reason) {
+    workload::PoolWorker& worker = core_.workers[id];
+    std::vector<workload::PlacedRun> lost;
+    for (const auto& [run, placed] : worker.runs) {
+      if (placed.stage != workload::RunStage::kRecording) {
+        lost.push_back(placed);
+      }
+    }
+    if (lost.empty()) {
+      return;
+    }
+    logging::LogEvent(logging::LogLevel::kWarning, "runs_lost",
+                      {{"worker", id}, {"runs", lost.size()}, {"reason", reason}});
+    Records records;
+    for (const workload::PlacedRun& it : lost) {
+      TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
+    }
+    core_.Append(records, [] {});
+    if (!worker.is_listed) {
+      core_.DropWorker(id);
+    }
+    core_.plan_soon();
+  }
+
+ private:
+  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
+  static constexpr workload::Milliseconds kLongRestAfterFailure{4'000};
+
+  void OnJobEnded(const std::string& job, workload::JobState state) {
+    logging::LogEvent(
+        logging::LogLevel::kInfo, "job_ended",
+        {{"job", job}, {"state", static_cast<int>(state)}, {"epoch", core_.options.epoch}});
+    orders_.StopRunsOf(job);
+  }
+
+  void NoteWorkerHealth(const std::string& id, const workload::TaskRun& run,
+                        workload::EndReason reason) {
+    workload::PoolWorker& worker = core_.workers[id];
+    if (reason == workload::EndReason::kDone) {
+      worker.failures_in_row = 0;
+      return;
+    }
+    if (reason != workload::EndReason::kFailed) {
+      return;
+    }
+    std::string& last_job = last_failed_job_[id];
+    if (last_job == run.task.step.job) {
+      return;
+    }
+    last_job = run.task.step.job;
+    ++worker.failures_in_row;
+    core_.Rest(id, worker.failures_in_row > 1 ? kLongRestAfterFailure : kRestAfterFailure);
+  }
+
+  OwnerCore<Platform, Port>& core_;
+  WorkerOrders<Platform, Port>& orders_;
+  // Job of the last run that failed on a worker.
+  std::map<std::string, std::string> last_failed_job_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/owner/task_placement.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/task_planner.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/owner/worker_orders.h"
+
+namespace clementineloom::entry {
+
+/// @brief Plans starts, records them, and orders them once they are stored.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class TaskPlacement {
+ public:
+  TaskPlacement(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
+      : core_(core), orders_(orders) {}
+
+  /// @brief Makes a plan in a moment, one for all events until then.
+  void PlanSoon() {
+    if (!is_plan_due_) {
+      is_plan_due_ = true;
+      core_.port.After(kPlanDelay, core_.Guard([this] {
+        is_plan_due_ = false;
+        Plan();
+      }));
+    }
+  }
+
+ private:
+  using Records = typename OwnerCore<Platform, Port>::Records;
+
+  // Lets the events of one moment share a plan.
+  static constexpr workload::Milliseconds kPlanDelay{4};
+  static constexpr workload::Milliseconds kAdviceTimeout{2'000};
+
+  void Plan() {
+    if (core_.is_resigning) {
+      return;
+    }
+    std::set<workload::TaskId> blocked;
+    for (const auto& [id, worker] : core_.workers) {
+      for (const auto& [run, placed] : worker.runs) {
+        blocked.insert(run.task);
+      }
+    }
+    const workload::PlanRequest request{
+        core_.jobs,   core_.workers,    core_.operators.evacuated(), blocked,
+        core_.advice, core_.port.Now(), core_.port.UnixNowMs()};
+    workload::StartPlan plan = workload::PlanStarts(request);
+    if (plan.question && !is_asking_) {
+      Ask(*plan.question);
+    }
+    for (const workload::Preemption& it : plan.preemptions) {
+      Preempt(it);
+    }
+    if (!plan.starts.empty()) {
+      RecordStarts(std::move(plan.starts));
+    }
+  }
+
+  void Preempt(const workload::Preemption& preemption) {
+    logging::LogEvent(logging::LogLevel::kInfo, "run_preempted",
+                      {{"task", codec::TaskName(preemption.run.task)},
+                       {"run", preemption.run.run},
+                       {"worker", preemption.worker},
+                       {"for", codec::TaskName(preemption.beneficiary)}});
+    orders_.OrderStop(preemption.worker, preemption.run);
+    orders_.BreakGang(preemption.run);
+  }
+
+  void RecordStarts(std::vector<workload::PlannedStart> starts) {
+    Records records;
+    for (const workload::PlannedStart& it : starts) {
+      LogFirstStart(it);
+      const workload::TaskId& task = it.run.run.task;
+      const workload::TaskRecord& last = core_.jobs.Find(task.step.job)->Task(task);
+      workload::TaskRecord record{workload::TaskPhase::kPlaced, it.run.run.run, it.worker,
+                                  last.failures, it.run.checkpoint};
+      records.push_back(workload::TaskSet{task, std::move(record)});
+      core_.workers[it.worker].Add(it.run);
+    }
+    core_.Append(records, [this, starts = std::move(starts)] {
+      for (const workload::PlannedStart& it : starts) {
+        OrderRecordedStart(it);
+      }
+    });
+  }
+
+  void LogFirstStart(const workload::PlannedStart& start) {
+    const workload::TaskId& task = start.run.run.task;
+    const workload::JobEntry& job = *core_.jobs.Find(task.step.job);
+    if (start.run.run.run > 1) {
+      logging::LogEvent(logging::LogLevel::kInfo, "task_run_again",
+                        {{"task", codec::TaskName(task)},
+                         {"run", start.run.run.run},
+                         {"worker", start.worker},
+                         {"epoch", core_.options.epoch}});
+    } else if (task.step.step == 0 && task.index == 0) {
+      const std::int64_t due_at_ms = job.submission->DueAtMs(task.step.occurrence);
+      logging::LogEvent(logging::LogLevel::kInfo, "job_started",
+                        {{"job", task.step.job},
+                         {"occurrence", task.step.occurrence},
+                         {"worker", start.worker},
+                         {"waited_ms", core_.port.UnixNowMs() - due_at_ms},
+                         {"epoch", core_.options.epoch}});
+    }
+  }
+
+  void OrderRecordedStart(const workload::PlannedStart& start) {
+    workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    if (run == nullptr || run->stage != workload::RunStage::kRecording) {
+      return;
+    }
+    const workload::JobEntry* job = core_.jobs.Find(start.run.run.task.step.job);
+    if (job == nullptr || !job->IsOpen()) {
+      core_.workers[start.worker].Remove(start.run.run);
+      return;
+    }
+    run->stage = workload::RunStage::kStarting;
+    orders_.OrderStart(start);
+  }
+
+  void Ask(const workload::AdviceQuestion& question) {
+    if (core_.options.advice_address.empty()) {
+      return;
+    }
+    is_asking_ = true;
+    core_.advice.NoteAsked(question.step, question.workers);
+    core_.port.Call(core_.options.advice_address, Platform::AdviceRequest(question), kAdviceTimeout,
+                    core_.Guard([this, question](const net::ClientResult& result) {
+                      is_asking_ = false;
+                      const auto approved = Platform::ParseAdvice(result, core_.port.Now());
+                      if (approved) {
+                        core_.advice.Add(question.step, *approved);
+                      } else {
+                        core_.advice.ForgetAsked(question.step, question.workers);
+                      }
+                      PlanSoon();
+                    }));
+  }
+
+  OwnerCore<Platform, Port>& core_;
+  WorkerOrders<Platform, Port>& orders_;
+  bool is_plan_due_ = false;
+  bool is_asking_ = false;
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/owner/worker_link.h
+++ b/src/entry/owner/worker_link.h
@@ -16,6 +16,8 @@
   bool is_recording_ends = false;
   /// Ends up to this number are recorded.
   std::uint64_t acknowledged_end = 0;
+  /// The number up to which a worker has answered to an acknowledgement.
+  std::uint64_t sent_acknowledgement = 0;
   /// When the worker last answered a call for its lists.
   workload::SteadyTime answered_at;
   /// Calls in a row without an answer.
--- /dev/null
+++ b/src/entry/owner/worker_orders.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/planned_start.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/worker/start_order.h"
+#include "entry/worker/stop_order.h"
+
+namespace clementineloom::entry {
+
+/// @brief Orders workers to start and to stop runs, until the outcome of each order is known.
+///
+/// A start without an answer may be carried out later: it is repeated until the worker answers,
+/// or stopped, or over with its lease. Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class WorkerOrders {
+ public:
+  explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core) {}
+
+  /// @brief Orders a start. Precondition: it is recorded, and its run holds room.
+  void OrderStart(const workload::PlannedStart& start) {
+    WorkerLink& link = core_.links[start.worker];
+    const auto lease_until = link.lease.Grant(core_.options.lease, core_.port.Now());
+    if (!lease_until) {
+      NotStarted(start.worker, start.run.run, "the worker's clock is not known");
+      return;
+    }
+    const workload::JobEntry* job = core_.jobs.Find(start.run.run.task.step.job);
+    StartOrder order{start.run.run,        job == nullptr ? "" : job->submission->payload,
+                     *lease_until,         core_.options.epoch,
+                     start.run.checkpoint, start.ticket};
+    const workload::WorkerInfo& info = core_.workers[start.worker].info;
+    core_.port.Call(info.address, Platform::StartRequest(order, info.id), kOrderTimeout,
+                    core_.Guard([this, start](const net::ClientResult& result) {
+                      OnStartAnswer(start, Platform::ParseOrder(result));
+                    }));
+    core_.call_worker(start.worker);
+  }
+
+  /// @brief Orders a stop; the room is held until the end is listed.
+  void OrderStop(const std::string& worker, const workload::TaskRun& run) {
+    workload::PlacedRun* placed = core_.FindRun(worker, run);
+    if (placed == nullptr || placed->stage == workload::RunStage::kStopping) {
+      return;
+    }
+    if (placed->stage == workload::RunStage::kRecording) {
+      core_.workers[worker].Remove(run);
+      return;
+    }
+    placed->stage = workload::RunStage::kStopping;
+    placed->confirmed_at = workload::SteadyTime::max();
+    SendStop(worker, run);
+  }
+
+  /// @brief Stops the other members of a gang whose run cannot go on.
+  void BreakGang(const workload::TaskRun& run) {
+    const workload::JobEntry* job = core_.jobs.Find(run.task.step.job);
+    const bool is_gang = job != nullptr && job->submission &&
+                         run.task.step.step < job->submission->steps.size() &&
+                         job->submission->steps[run.task.step.step].is_gang;
+    if (!is_gang) {
+      return;
+    }
+    StopRunsWhere([&run](const workload::TaskRun& it) {
+      return it.task.step == run.task.step && it.run == run.run;
+    });
+  }
+
+  /// @brief Stops all runs of a job.
+  void StopRunsOf(const std::string& job) {
+    StopRunsWhere([&job](const workload::TaskRun& it) { return it.task.step.job == job; });
+  }
+
+ private:
+  static constexpr workload::Milliseconds kOrderTimeout{700};
+  static constexpr workload::Milliseconds kOrderRetryDelay{300};
+  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
+
+  void OnStartAnswer(const workload::PlannedStart& start, const OrderAnswer& answer) {
+    core_.NoteClock(start.worker, answer);
+    if (answer.status == OrderStatus::kFenced) {
+      core_.Lose("a worker has seen a higher epoch");
+      return;
+    }
+    workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    if (run == nullptr || run->stage != workload::RunStage::kStarting) {
+      return;
+    }
+    switch (answer.status) {
+      case OrderStatus::kDone:
+      case OrderStatus::kSuperseded:
+        // A superseded run is in the list of ends, or else shows as missing.
+        run->stage = workload::RunStage::kRunning;
+        run->confirmed_at = core_.port.Now();
+        break;
+      case OrderStatus::kUnknown:
+        run->may_start_late = true;
+        core_.Rest(start.worker, kRestAfterFailure);
+        RetryStart(start);
+        break;
+      case OrderStatus::kUnreachable:
+        core_.Rest(start.worker, kRestAfterFailure);
+        if (run->may_start_late) {
+          RetryStart(start);
+        } else {
+          NotStarted(start.worker, start.run.run, "unreachable");
+        }
+        break;
+      case OrderStatus::kTicketRefused:
+        core_.advice.Reject(start.run.run.task.step, start.worker);
+        [[fallthrough]];
+      default:
+        OnStartRefused(start, *run, answer.status);
+        break;
+    }
+  }
+
+  void OnStartRefused(const workload::PlannedStart& start, const workload::PlacedRun& run,
+                      OrderStatus status) {
+    if (status == OrderStatus::kRefused || status == OrderStatus::kNoRoom) {
+      core_.Rest(start.worker, kRestAfterFailure);
+    }
+    if (run.may_start_late) {
+      // An earlier order may still arrive: the stop makes the worker refuse it.
+      OrderStop(start.worker, start.run.run);
+    } else {
+      NotStarted(start.worker, start.run.run, "refused");
+    }
+  }
+
+  void RetryStart(const workload::PlannedStart& start) {
+    core_.port.After(kOrderRetryDelay, core_.Guard([this, start] {
+      const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+      if (run == nullptr || run->stage != workload::RunStage::kStarting) {
+        return;
+      }
+      // An order grants a lease, which a silent worker must not get.
+      if (core_.links[start.worker].failures > 0) {
+        RetryStart(start);
+      } else {
+        OrderStart(start);
+      }
+    }));
+  }
+
+  // The task waits again; its record is overwritten by the next start.
+  void NotStarted(const std::string& worker, const workload::TaskRun& run,
+                  std::string_view reason) {
+    logging::LogEvent(logging::LogLevel::kInfo, "start_refused",
+                      {{"task", codec::TaskName(run.task)},
+                       {"run", run.run},
+                       {"worker", worker},
+                       {"reason", reason}});
+    core_.workers[worker].Remove(run);
+    BreakGang(run);
+    core_.plan_soon();
+  }
+
+  void SendStop(const std::string& worker, const workload::TaskRun& run) {
+    const workload::WorkerInfo& info = core_.workers[worker].info;
+    if (info.address.empty()) {
+      return;
+    }
+    core_.port.Call(info.address, Platform::StopRequest({run, core_.options.epoch}, info.id),
+                    kOrderTimeout,
+                    core_.Guard([this, worker, run](const net::ClientResult& result) {
+                      OnStopAnswer(worker, run, Platform::ParseOrder(result));
+                    }));
+    core_.call_worker(worker);
+  }
+
+  void OnStopAnswer(const std::string& worker, const workload::TaskRun& run,
+                    const OrderAnswer& answer) {
+    core_.NoteClock(worker, answer);
+    if (answer.status == OrderStatus::kFenced) {
+      core_.Lose("a worker has seen a higher epoch");
+      return;
+    }
+    workload::PlacedRun* placed = core_.FindRun(worker, run);
+    if (placed == nullptr) {
+      return;
+    }
+    if (answer.status == OrderStatus::kDone || answer.status == OrderStatus::kSuperseded) {
+      placed->confirmed_at = core_.port.Now();
+      core_.call_worker(worker);
+      return;
+    }
+    core_.port.After(kOrderRetryDelay, core_.Guard([this, worker, run] {
+      if (core_.FindRun(worker, run) != nullptr) {
+        SendStop(worker, run);
+      }
+    }));
+  }
+
+  template <class Predicate>
+  void StopRunsWhere(Predicate matches) {
+    std::vector<std::pair<std::string, workload::TaskRun>> found;
+    for (const auto& [id, worker] : core_.workers) {
+      for (const auto& [run, placed] : worker.runs) {
+        if (matches(run)) {
+          found.emplace_back(id, run);
+        }
+      }
+    }
+    for (const auto& [worker, run] : found) {
+      OrderStop(worker, run);
+    }
+  }
+
+  OwnerCore<Platform, Port>& core_;
+};
+
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/src/entry/owner/worker_poller.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/run_stall.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/owner/run_ends.h"
+#include "entry/owner/worker_orders.h"
+#include "entry/worker/renew_order.h"
+#include "entry/worker/worker_lists.h"
+
+namespace clementineloom::entry {
+
+/// @brief Calls workers for their lists, which renews their leases, and takes over what they say.
+///
+/// One call to a worker at a time; it waits at the worker for an end. A worker without runs is not
+/// called. Ends are acknowledged with the call after they were recorded.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class WorkerPoller {
+ public:
+  WorkerPoller(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
+               RunEnds<Platform, Port>& ends)
+      : core_(core), orders_(orders), ends_(ends) {}
+
+  /// @brief Calls a worker unless a call is on its way or there is nothing to ask.
+
+  void Poll(const std::string& id) {
+    WorkerLink& link = core_.links[id];
+    const auto it = core_.workers.find(id);
+    if (it == core_.workers.end() || link.is_polling || link.is_recording_ends ||
+        it->second.info.address.empty()) {
+      return;
+    }
+    const bool is_idle = it->second.is_attached && it->second.runs.empty();
+    const bool has_ends_to_acknowledge =
+        link.acknowledged_end > core_.links[id].sent_acknowledgement;
+    if (is_idle && !has_ends_to_acknowledge) {
+      return;
+    }
+    CallForLists(id, is_idle);
+  }
+
+  /// @brief Calls a worker for its lists, whatever runs there.
+  /// Precondition: no such call is on its way.
+  void CallForLists(const std::string& id, bool is_idle) {
+    WorkerLink& link = core_.links[id];
+    link.is_polling = true;
+    RenewOrder order;
+    order.fencing_token = core_.options.epoch;
+    order.acknowledged_end = link.acknowledged_end;
+    // A worker that does not answer gets no longer lease, so that its runs surely end some time.
+    if (link.failures == 0) {
+      order.lease_until_ms = link.lease.Grant(core_.options.lease, core_.port.Now());
+    }
+    order.wait_ms = order.lease_until_ms && !is_idle ? kPollWait.count() : 0;
+    const auto sent_at = core_.port.Now();
+    const workload::WorkerInfo& info = core_.workers[id].info;
+    core_.port.Call(
+        info.address, Platform::RenewRequest(order, info.id), PollTimeout(order),
+        core_.Guard([this, id, sent_at, ack = order.acknowledged_end](
+                        const net::ClientResult& result) { OnLists(id, sent_at, ack, result); }));
+  }
+
+  /// @brief Another life of a worker began: all that an earlier one ran is gone with it.
+  void BeginLife(const std::string& id, std::int64_t born_at_ms) {
+    ends_.LoseRuns(id, "the worker started anew");
+    WorkerLink& link = core_.links[id];
+    link.lease.Reset();
+    link.acknowledged_end = 0;
+    core_.links[id].sent_acknowledgement = 0;
+    link.born_at_ms = born_at_ms;
+    core_.workers[id].is_attached = false;
+  }
+
+ private:
+  using Records = typename OwnerCore<Platform, Port>::Records;
+
+  static constexpr workload::Milliseconds kOrderTimeout{700};
+  // A third of the shortest lease, so that two lost calls end nothing.
+  static constexpr workload::Milliseconds kPollWait{1'300};
+  static constexpr workload::Milliseconds kPollSlack{700};
+  static constexpr workload::Milliseconds kPollRetryDelay{200};
+  static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
+  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
+  static constexpr workload::Milliseconds kRestAfterStall{4'000};
+  static constexpr std::uint32_t kUrgentPolls = 30;
+
+  static workload::Milliseconds PollTimeout(const RenewOrder& order) {
+    return workload::Milliseconds(order.wait_ms) + kPollSlack;
+  }
+
+  void OnLists(const std::string& id, workload::SteadyTime sent_at, std::uint64_t ack,
+               const net::ClientResult& result) {
+    WorkerLink& link = core_.links[id];
+    link.is_polling = false;
+    const auto it = core_.workers.find(id);
+    if (it == core_.workers.end()) {
+      return;
+    }
+    const OrderAnswer answer = Platform::ParseOrder(result);
+    if (answer.status == OrderStatus::kFenced) {
+      core_.Lose("a worker has seen a higher epoch");
+      return;
+    }
+    const auto lists = Platform::ParseLists(result);
+    if (answer.status == OrderStatus::kOtherLife) {
+      ends_.LoseRuns(id, "another life of the worker answered");
+      it->second.is_attached = false;
+    }
+    if (!lists) {
+      OnPollFailed(id);
+      return;
+    }
+    link.failures = 0;
+    link.answered_at = core_.port.Now();
+    core_.links[id].sent_acknowledgement = std::max(core_.links[id].sent_acknowledgement, ack);
+    link.lease.OnClock(lists->clock_ms, core_.port.Now());
+    const std::int64_t born = lists->born_at_ms.value_or(it->second.info.born_at_ms);
+    if (link.born_at_ms != 0 && born != 0 && born != link.born_at_ms) {
+      BeginLife(id, born);
+    }
+    link.born_at_ms = born;
+    if (!it->second.is_attached) {
+      it->second.is_attached = true;
+      logging::LogEvent(logging::LogLevel::kInfo, "worker_attached",
+                        {{"worker", id},
+                         {"epoch", core_.options.epoch},
+                         {"running", lists->running.size()},
+                         {"ended", lists->ended.size()}});
+      core_.plan_soon();
+    }
+    TakeLists(id, *lists, sent_at);
+  }
+
+  void OnPollFailed(const std::string& id) {
+    WorkerLink& link = core_.links[id];
+    if (link.failures++ == 0) {
+      logging::LogEvent(logging::LogLevel::kWarning, "worker_silent",
+                        {{"worker", id}, {"runs", core_.workers[id].runs.size()}});
+    }
+    core_.Rest(id, kRestAfterFailure);
+    const bool is_urgent = !core_.workers[id].runs.empty() && link.failures < kUrgentPolls;
+    core_.port.After(is_urgent ? kPollRetryDelay : kIdlePollRetryDelay,
+                     core_.Guard([this, id] { Poll(id); }));
+  }
+
+  void TakeLists(const std::string& id, const WorkerLists& lists, workload::SteadyTime sent_at) {
+    Records records;
+    std::set<workload::TaskRun> listed;
+    for (const RunningItem& it : lists.running) {
+      listed.insert(it.run);
+      TakeRunning(id, it);
+    }
+    WorkerLink& link = core_.links[id];
+    std::uint64_t last_end = link.acknowledged_end;
+    for (const EndedItem& it : lists.ended) {
+      if (it.number > link.acknowledged_end) {
+        last_end = std::max(last_end, it.number);
+        listed.insert(it.run);
+        ends_.TakeEnd(id, it.run, it.reason, it.checkpoint, records);
+      }
+    }
+    TakeMissing(id, listed, sent_at, records);
+    if (records.empty() && last_end == link.acknowledged_end) {
+      Poll(id);
+      return;
+    }
+    link.is_recording_ends = true;
+    core_.Append(records, [this, id, last_end] {
+      WorkerLink& stored = core_.links[id];
+      stored.is_recording_ends = false;
+      stored.acknowledged_end = std::max(stored.acknowledged_end, last_end);
+      Poll(id);
+    });
+    core_.plan_soon();
+  }
+
+  void TakeRunning(const std::string& id, const RunningItem& item) {
+    workload::PlacedRun* run = core_.FindRun(id, item.run);
+    if (run == nullptr) {
+      // Nothing that is recorded: a late order of the past.
+      logging::LogEvent(logging::LogLevel::kWarning, "unknown_run_stopped",
+                        {{"task", codec::TaskName(item.run.task)}, {"worker", id}});
+      const workload::WorkerInfo& info = core_.workers[id].info;
+      core_.port.Call(info.address, Platform::StopRequest({item.run, core_.options.epoch}, info.id),
+                      kOrderTimeout, [](const net::ClientResult&) {});
+      return;
+    }
+    if (!item.checkpoint.empty()) {
+      run->checkpoint = item.checkpoint;
+    }
+    NoteProgress(id, *run, item.percent);
+    if (run->stage == workload::RunStage::kStarting) {
+      run->stage = workload::RunStage::kRunning;
+      run->confirmed_at = core_.port.Now();
+      const workload::JobEntry* job = core_.jobs.Find(item.run.task.step.job);
+      if (job == nullptr || !job->IsOpen()) {
+        orders_.OrderStop(id, item.run);
+      }
+    }
+  }
+
+  // Moves a run that stands still, and rests its worker.
+  void NoteProgress(const std::string& id, workload::PlacedRun& run, std::uint32_t percent) {
+    const auto now = core_.port.Now();
+    if (percent != run.progress_percent || run.progressed_at == workload::SteadyTime()) {
+      run.progress_percent = percent;
+      run.progressed_at = now;
+      return;
+    }
+    const workload::JobEntry* job = core_.jobs.Find(run.run.task.step.job);
+    if (run.stage != workload::RunStage::kRunning || job == nullptr || !job->IsOpen()) {
+      return;
+    }
+    const workload::StepSpec& spec = job->submission->steps[run.run.task.step.step];
+    if (workload::HasStalled(spec, run, now)) {
+      logging::LogEvent(logging::LogLevel::kWarning, "run_stalled",
+                        {{"task", codec::TaskName(run.run.task)},
+                         {"run", run.run.run},
+                         {"worker", id},
+                         {"percent", percent}});
+      core_.Rest(id, kRestAfterStall);
+      orders_.OrderStop(id, run.run);
+      orders_.BreakGang(run.run);
+    }
+  }
+
+  // Runs that the worker must know of and does not list.
+  void TakeMissing(const std::string& id, const std::set<workload::TaskRun>& listed,
+                   workload::SteadyTime sent_at, Records& records) {
+    std::vector<workload::PlacedRun> missing;
+    for (const auto& [run, placed] : core_.workers[id].runs) {
+      const bool is_confirmed = (placed.stage == workload::RunStage::kRunning ||
+                                 placed.stage == workload::RunStage::kStopping) &&
+                                placed.confirmed_at < sent_at;
+      const bool is_refused_by_token =
+          placed.stage == workload::RunStage::kStarting && placed.is_adopted;
+      if (!listed.contains(run) && (is_confirmed || is_refused_by_token)) {
+        missing.push_back(placed);
+      }
+    }
+    for (const workload::PlacedRun& it : missing) {
+      ends_.TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
+    }
+  }
+
+  OwnerCore<Platform, Port>& core_;
+  WorkerOrders<Platform, Port>& orders_;
+  RunEnds<Platform, Port>& ends_;
+};
+
+}  // namespace clementineloom::entry
