--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -9,6 +9,7 @@
 #include "clementineloom/workload/run_outcome.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
 #include "entry/owner/worker_orders.h"
 
 namespace clementineloom::entry {
@@ -24,7 +25,6 @@
       : core_(core), orders_(orders) {}
 
   /// @brief Takes an end. Adds to the records, which the caller appends.
-
   void TakeEnd(const std::string& worker, const workload::TaskRun& run, workload::EndReason reason,
                const std::string& checkpoint, Records& records) {
     if (reason != workload::EndReason::kDone) {
@@ -78,9 +78,6 @@
   }
 
  private:
-  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
-  static constexpr workload::Milliseconds kLongRestAfterFailure{4'000};
-
   void OnJobEnded(const std::string& job, workload::JobState state) {
     logging::LogEvent(
         logging::LogLevel::kInfo, "job_ended",
@@ -104,7 +101,8 @@
     }
     last_job = run.task.step.job;
     ++worker.failures_in_row;
-    core_.Rest(id, worker.failures_in_row > 1 ? kLongRestAfterFailure : kRestAfterFailure);
+    core_.Rest(
+        id, worker.failures_in_row > 1 ? OwnerTiming::kLongRest : OwnerTiming::kRestAfterFailure);
   }
 
   OwnerCore<Platform, Port>& core_;
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -8,6 +8,7 @@
 #include "clementineloom/workload/planned_start.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
 #include "entry/worker/start_order.h"
 #include "entry/worker/stop_order.h"
 
@@ -35,7 +36,8 @@
                      *lease_until,         core_.options.epoch,
                      start.run.checkpoint, start.ticket};
     const workload::WorkerInfo& info = core_.workers[start.worker].info;
-    core_.port.Call(info.address, Platform::StartRequest(order, info.id), kOrderTimeout,
+    core_.port.Call(info.address, Platform::StartRequest(order, info.id),
+                    OwnerTiming::kOrderTimeout,
                     core_.Guard([this, start](const net::ClientResult& result) {
                       OnStartAnswer(start, Platform::ParseOrder(result));
                     }));
@@ -77,9 +79,7 @@
   }
 
  private:
-  static constexpr workload::Milliseconds kOrderTimeout{700};
   static constexpr workload::Milliseconds kOrderRetryDelay{300};
-  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
 
   void OnStartAnswer(const workload::PlannedStart& start, const OrderAnswer& answer) {
     core_.NoteClock(start.worker, answer);
@@ -100,11 +100,11 @@
         break;
       case OrderStatus::kUnknown:
         run->may_start_late = true;
-        core_.Rest(start.worker, kRestAfterFailure);
+        core_.Rest(start.worker, OwnerTiming::kRestAfterFailure);
         RetryStart(start);
         break;
       case OrderStatus::kUnreachable:
-        core_.Rest(start.worker, kRestAfterFailure);
+        core_.Rest(start.worker, OwnerTiming::kRestAfterFailure);
         if (run->may_start_late) {
           RetryStart(start);
         } else {
@@ -123,7 +123,7 @@
   void OnStartRefused(const workload::PlannedStart& start, const workload::PlacedRun& run,
                       OrderStatus status) {
     if (status == OrderStatus::kRefused || status == OrderStatus::kNoRoom) {
-      core_.Rest(start.worker, kRestAfterFailure);
+      core_.Rest(start.worker, OwnerTiming::kRestAfterFailure);
     }
     if (run.may_start_late) {
       // An earlier order may still arrive: the stop makes the worker refuse it.
@@ -167,7 +167,7 @@
       return;
     }
     core_.port.Call(info.address, Platform::StopRequest({run, core_.options.epoch}, info.id),
-                    kOrderTimeout,
+                    OwnerTiming::kOrderTimeout,
                     core_.Guard([this, worker, run](const net::ClientResult& result) {
                       OnStopAnswer(worker, run, Platform::ParseOrder(result));
                     }));
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -10,6 +10,7 @@
 #include "clementineloom/workload/run_stall.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
 #include "entry/owner/worker_orders.h"
 #include "entry/worker/renew_order.h"
@@ -30,7 +31,6 @@
       : core_(core), orders_(orders), ends_(ends) {}
 
   /// @brief Calls a worker unless a call is on its way or there is nothing to ask.
-
   void Poll(const std::string& id) {
     WorkerLink& link = core_.links[id];
     const auto it = core_.workers.find(id);
@@ -82,14 +82,11 @@
  private:
   using Records = typename OwnerCore<Platform, Port>::Records;
 
-  static constexpr workload::Milliseconds kOrderTimeout{700};
   // A third of the shortest lease, so that two lost calls end nothing.
   static constexpr workload::Milliseconds kPollWait{1'300};
   static constexpr workload::Milliseconds kPollSlack{700};
   static constexpr workload::Milliseconds kPollRetryDelay{200};
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
-  static constexpr workload::Milliseconds kRestAfterFailure{1'000};
-  static constexpr workload::Milliseconds kRestAfterStall{4'000};
   static constexpr std::uint32_t kUrgentPolls = 30;
 
   static workload::Milliseconds PollTimeout(const RenewOrder& order) {
@@ -145,7 +142,7 @@
       logging::LogEvent(logging::LogLevel::kWarning, "worker_silent",
                         {{"worker", id}, {"runs", core_.workers[id].runs.size()}});
     }
-    core_.Rest(id, kRestAfterFailure);
+    core_.Rest(id, OwnerTiming::kRestAfterFailure);
     const bool is_urgent = !core_.workers[id].runs.empty() && link.failures < kUrgentPolls;
     core_.port.After(is_urgent ? kPollRetryDelay : kIdlePollRetryDelay,
                      core_.Guard([this, id] { Poll(id); }));
@@ -190,7 +187,7 @@
                         {{"task", codec::TaskName(item.run.task)}, {"worker", id}});
       const workload::WorkerInfo& info = core_.workers[id].info;
       core_.port.Call(info.address, Platform::StopRequest({item.run, core_.options.epoch}, info.id),
-                      kOrderTimeout, [](const net::ClientResult&) {});
+                      OwnerTiming::kOrderTimeout, [](const net::ClientResult&) {});
       return;
     }
     if (!item.checkpoint.empty()) {
@@ -226,7 +223,7 @@
                          {"run", run.run.run},
                          {"worker", id},
                          {"percent", percent}});
-      core_.Rest(id, kRestAfterStall);
+      core_.Rest(id, OwnerTiming::kLongRest);
       orders_.OrderStop(id, run.run);
       orders_.BreakGang(run.run);
     }
