--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <memory>
 
+#include "fakes/query.h"
 #include "platform/record_format.h"
 
 namespace clementineloom::standin {
@@ -29,6 +30,10 @@
   return text;
 }
 
+std::string TextOf(const std::string& target, std::string_view key) {
+  return std::string(fakes::QueryText(target, key).value_or(""));
+}
+
 std::string BigEndian(std::uint64_t number) {
   std::string bytes;
   for (int shift = 56; shift >= 0; shift -= 8) {
@@ -44,25 +49,25 @@
     reply(Json(503, {}));
     return;
   }
-  const Query query = Query::Of(request.target);
-  if (query.path == "/log-append" && refuses_appends_) {
+  const std::string_view path = fakes::PathOf(request.target);
+  if (path == "/log-append" && refuses_appends_) {
     reply(Json(503, {}));
-  } else if (query.path == "/log-append") {
-    Append(query, request.body, reply);
-  } else if (query.path == "/log-read") {
-    Read(query, std::move(reply));
+  } else if (path == "/log-append") {
+    Append(request.target, request.body, reply);
+  } else if (path == "/log-read") {
+    Read(request.target, std::move(reply));
   } else {
-    reply(Newest(query));
+    reply(Newest(request.target));
   }
 }
 
-void StandInStore::Append(const Query& query, const std::string& body,
+void StandInStore::Append(const std::string& target, const std::string& body,
                           const SimWorld::Reply& reply) {
-  const std::string name = query.Text("topic");
+  const std::string name = TextOf(target, "topic");
   Topic& topic = topics_[name];
-  Producer& producer = topic.producers[query.Text("producer")];
-  const std::uint64_t epoch = query.Number("epoch");
-  const std::uint64_t sequence = query.Number("sequence");
+  Producer& producer = topic.producers[TextOf(target, "producer")];
+  const std::uint64_t epoch = fakes::QueryNumber(target, "epoch", 0);
+  const std::uint64_t sequence = fakes::QueryNumber(target, "sequence", 0);
   if (epoch < producer.epoch) {
     reply(Json(409, {{"reason", "fenced"}}));
     return;
@@ -76,7 +81,7 @@
     return;
   }
   const std::uint64_t offset = topic.records.size();
-  if (query.parameters.contains("at") && query.Number("at") != offset) {
+  if (fakes::QueryText(target, "at") && fakes::QueryNumber(target, "at", 0) != offset) {
     reply(Json(412, {{"endOffset", offset}}));
     return;
   }
@@ -102,9 +107,9 @@
   world_.After(kAppendTime, [reply, offset] { reply(Json(200, {{"offset", offset}})); });
 }
 
-void StandInStore::Read(const Query& query, SimWorld::Reply reply) {
-  Topic& topic = topics_[query.Text("topic")];
-  const std::uint64_t from = query.Number("from");
+void StandInStore::Read(const std::string& target, SimWorld::Reply reply) {
+  Topic& topic = topics_[TextOf(target, "topic")];
+  const std::uint64_t from = fakes::QueryNumber(target, "from", 0);
   if (from < topic.first) {
     reply(Json(410, {{"firstOffset", topic.first}}));
     return;
@@ -115,23 +120,24 @@
   }
   auto waiter = std::make_shared<Waiter>(Waiter{from, std::move(reply)});
   topic.waiters.push_back(waiter);
-  world_.After(workload::Milliseconds(query.Number("waitMs")), [this, &topic, waiter] {
-    if (!std::exchange(waiter->is_over, true)) {
-      waiter->reply(Batch(topic, waiter->from));
-    }
-  });
+  world_.After(workload::Milliseconds(fakes::QueryNumber(target, "waitMs", 0)),
+               [this, &topic, waiter] {
+                 if (!std::exchange(waiter->is_over, true)) {
+                   waiter->reply(Batch(topic, waiter->from));
+                 }
+               });
 }
 
-net::HttpResponse StandInStore::Newest(const Query& query) {
+net::HttpResponse StandInStore::Newest(const std::string& target) {
   constexpr std::size_t kPage = 500;
-  const Topic& topic = topics_[query.Text("topic")];
+  const Topic& topic = topics_[TextOf(target, "topic")];
   std::map<std::string, std::uint64_t> newest;
   for (std::uint64_t offset = 0; offset < topic.records.size(); ++offset) {
     newest[topic.records[offset].key] = offset;
   }
   json::array items;
   bool has_more = false;
-  for (auto it = newest.upper_bound(query.Text("dependsOn")); it != newest.end(); ++it) {
+  for (auto it = newest.upper_bound(TextOf(target, "dependsOn")); it != newest.end(); ++it) {
     const workload::KeyedValue& record = topic.records[it->second];
     if (record.value.empty()) {
       continue;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "clementineloom/workload/keyed_value.h"
-#include "standin/query.h"
 #include "standin/sim_world.h"
 
 namespace clementineloom::standin {
@@ -68,9 +67,9 @@
   };
 
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
-  void Append(const Query& query, const std::string& body, const SimWorld::Reply& reply);
-  void Read(const Query& query, SimWorld::Reply reply);
-  [[nodiscard]] net::HttpResponse Newest(const Query& query);
+  void Append(const std::string& target, const std::string& body, const SimWorld::Reply& reply);
+  void Read(const std::string& target, SimWorld::Reply reply);
+  [[nodiscard]] net::HttpResponse Newest(const std::string& target);
   void Add(const std::string& topic, const std::vector<workload::KeyedValue>& items);
   [[nodiscard]] net::HttpResponse Batch(const Topic& topic, std::uint64_t from) const;
 
