Claim ownership without a condition on the end of the topic

Since claims are read back, the condition adds nothing: all records before the claim are read, and the epoch keeps earlier owners from writing after it. Ruled out: the silence that precedes a claim (the owner had resigned). The new test on a store that is 250 ms slow failed before.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -257,16 +257,16 @@
         workload::OwnerSet{{epoch_, settings_.instance, workload::OwnerPhase::kActive}})};
     order.producer = kOwnerProducer;
     order.epoch = epoch_;
-    order.expected_end = jobs_follower_.next_offset();
     logging::LogEvent(logging::LogLevel::kInfo, "claiming_ownership",
-                      {{"epoch", epoch_}, {"offset", *order.expected_end}});
+                      {{"epoch", epoch_}, {"next_offset", jobs_follower_.next_offset()}});
     port_.Call(
         settings_.store, Platform::AppendRequest(jobs_topic_.topic, order), kClaimTimeout,
         [this](const net::ClientResult& result) { OnClaimAnswer(Platform::ParseAppend(result)); });
   }
 
-  // The claim counts once it is read back: a store that took another instance's claim of the same
-  // epoch answers this one as its repeat, and a claim without an answer may still be stored.
+  // The claim counts once it is read back: then no earlier owner's record can follow the ones that
+  // were read. A store that took another instance's claim of the same epoch answers this one as
+  // its repeat, and a claim without an answer may still be stored.
   void OnClaimAnswer(const AppendAnswer& answer) {
     is_claiming_ = false;
     if (answer.status != AppendStatus::kAppended) {
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -302,6 +302,25 @@
   EXPECT_NE(*successor, owner);
 }
 
+// Guards against claims that never succeed: with a slow store and callers who go on, the topic had
+// always grown since the claimant had read it.
+TEST_F(EntryClusterTest, Owner_KilledWhileTheStoreIsSlow_IsReplacedBeforeLeasesEnd) {
+  StandInCluster cluster(4, 2, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  EXPECT_EQ(cluster.Submit(owner, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.store.SlowDown(Milliseconds(250));
+  cluster.Kill(owner);
+  for (int n = 0; n < 40; ++n) {
+    cluster.store.Put("keyed.loom", "c/00000000000000c" + std::to_string(n % 10), "true");
+    cluster.RunFor(Milliseconds(100));
+  }
+  EXPECT_TRUE(cluster.OwnerIndex().has_value());
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(16'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
 // Guards against acknowledged jobs that are gone after all instances were killed at once.
 TEST_F(EntryClusterTest, AllInstances_KilledAfterAnAcceptance_JobCompletes) {
   StandInCluster cluster(3, 2, kRunTime);
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -45,6 +45,14 @@
 }  // namespace
 
 void StandInStore::Handle(const net::HttpRequest& request, SimWorld::Reply reply) {
+  if (delay_.count() == 0) {
+    Serve(request, std::move(reply));
+    return;
+  }
+  world_.After(delay_, [this, request, reply = std::move(reply)] { Serve(request, reply); });
+}
+
+void StandInStore::Serve(const net::HttpRequest& request, SimWorld::Reply reply) {
   if (refuses_) {
     reply(Json(503, {}));
     return;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -36,6 +36,8 @@
   void Refuse(bool refuse) { refuses_ = refuse; }
   /// @brief Appends are answered with 503, and reads go on, until RefuseAppends(false).
   void RefuseAppends(bool refuse) { refuses_appends_ = refuse; }
+  /// @brief Every call takes this much longer.
+  void SlowDown(workload::Milliseconds delay) { delay_ = delay; }
   /// @brief So many of the next appends are carried out and get no answer.
   void LoseAppendAnswers(int count) { lost_appends_ = count; }
   /// @brief Forgets the records before the end of a topic; the newest of each key stay.
@@ -67,6 +69,7 @@
   };
 
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
+  void Serve(const net::HttpRequest& request, SimWorld::Reply reply);
   void Append(const std::string& target, const std::string& body, const SimWorld::Reply& reply);
   void Read(const std::string& target, SimWorld::Reply reply);
   [[nodiscard]] net::HttpResponse Newest(const std::string& target);
@@ -77,6 +80,7 @@
   std::map<std::string, Topic> topics_;
   bool refuses_ = false;
   bool refuses_appends_ = false;
+  workload::Milliseconds delay_{0};
   int lost_appends_ = 0;
 };
 
