--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -24,6 +24,7 @@
   /// A longer gap between two reads counts as an outage.
   static constexpr Milliseconds kReadGap{1'900};
 
+  /// Time from the answer to a claim to the next claim.
   static constexpr Milliseconds kClaimPause{400};
 
   /// @param rank 0 to 1; the share of kSpread that this instance waits
@@ -39,8 +40,9 @@
   /// @brief Notes that the stream could not be read; nothing is claimed until it is read again.
   void OnReadFailed();
 
-  /// @brief Notes that a claim did not succeed; the next one waits for kClaimPause.
-  void OnClaimFailed(SteadyTime now);
+  /// @brief Notes the answer to a claim, whatever it was; the next one waits for kClaimPause, in
+  /// which a successful claim is read back.
+  void OnClaimAnswered(SteadyTime now);
 
   /// @brief Whether to claim the ownership now. False before the first read.
   [[nodiscard]] bool MayClaim(SteadyTime now) const;
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -78,9 +78,6 @@
     Dispatch(request, call, *queue, team == nullptr ? std::string() : team->name);
   }
 
-  /// @brief Requests that wait for the store.
-  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
-
  private:
   // The answer has to reach the caller before it gives up.
   static constexpr workload::Milliseconds kAnswerMargin{150};
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -273,7 +273,7 @@
       logging::LogEvent(logging::LogLevel::kInfo, "claim_failed",
                         {{"epoch", epoch_}, {"status", static_cast<int>(answer.status)}});
     }
-    election_.OnClaimFailed(port_.Now());
+    election_.OnClaimAnswered(port_.Now());
   }
 
   // Whether the newest owner's record is this instance's last claim.
@@ -295,7 +295,6 @@
     options.instance = settings_.instance;
     options.epoch = epoch_;
     options.lease = std::min(kLease, workload::Milliseconds{settings_.max_lease_ms} - kLeaseMargin);
-    options.stop_timeout = workload::Milliseconds{settings_.stop_timeout_ms};
     options.retention = std::chrono::seconds{settings_.state_retention_s};
     options.advice_address = settings_.advice;
     owner_ = std::make_unique<Owner<Platform, Port>>(
--- a/src/entry/store/append_order.h
+++ b/src/entry/store/append_order.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +17,6 @@
   /// Fencing token: the store refuses a writer with a lower one than it has seen.
   std::uint64_t epoch = 0;
   std::uint64_t sequence = 0;
-  /// The append counts only if the topic ends here.
-  std::optional<std::uint64_t> expected_end;
 
   friend auto operator<=>(const AppendOrder&, const AppendOrder&) = default;
 };
--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -54,9 +54,6 @@
   /// @brief Whether the append on its way had to be sent again.
   [[nodiscard]] bool is_stuck() const { return is_busy_ && failures_ > 0; }
 
-  /// @brief When the append that is on its way, or waits to be repeated, was first sent.
-  [[nodiscard]] workload::SteadyTime sent_at() const { return sent_at_; }
-
  private:
   static constexpr workload::Milliseconds kCallTimeout{1'000};
   static constexpr workload::Milliseconds kFirstRetryDelay{50};
@@ -94,7 +91,6 @@
     order_ = std::move(order);
     is_outcome_open_ = false;
     failures_ = 0;
-    sent_at_ = port_.Now();
     Send();
   }
 
@@ -157,7 +153,6 @@
   // Whether the append on its way may have been carried out already.
   bool is_outcome_open_ = false;
   std::uint32_t failures_ = 0;
-  workload::SteadyTime sent_at_;
   LifeGuard life_;
 };
 
--- a/src/workload/owner_election.cc
+++ b/src/workload/owner_election.cc
@@ -28,7 +28,7 @@
 
 void OwnerElection::OnReadFailed() { is_readable_ = false; }
 
-void OwnerElection::OnClaimFailed(SteadyTime now) { may_claim_from_ = now + kClaimPause; }
+void OwnerElection::OnClaimAnswered(SteadyTime now) { may_claim_from_ = now + kClaimPause; }
 
 bool OwnerElection::MayClaim(SteadyTime now) const {
   if (!is_readable_ || now - *last_read_ > kReadGap || now < may_claim_from_) {
--- a/tests/workload/owner_election_test.cc
+++ b/tests/workload/owner_election_test.cc
@@ -61,7 +61,7 @@
 // Guards against a store that is asked ten times a second while it refuses.
 TEST_F(OwnerElectionTest, MayClaim_AfterAFailedClaim_WaitsAWhile) {
   election_.OnRead(now_);
-  election_.OnClaimFailed(now_);
+  election_.OnClaimAnswered(now_);
   EXPECT_FALSE(election_.MayClaim(now_));
   EXPECT_TRUE(election_.MayClaim(now_ + OwnerElection::kClaimPause));
 }
