Move runs off draining workers before they leave

Cause: runs on a draining worker went on until it left; their tasks then waited for the end of the worker's lease (5.5 s) and lost all progress since the last list. A run that saves checkpoints is now stopped shortly before the worker leaves, one with little done and no checkpoints at once, and one that ends in time not at all.

Ruled out: taking a worker that left as ended at once (its entry may have lapsed behind a cut while it runs on); moving at once whatever saves checkpoints (it would wait for room although it can work).

--- a/include/clementineloom/workload/pool_worker.h
+++ b/include/clementineloom/workload/pool_worker.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "clementineloom/workload/placed_run.h"
 #include "clementineloom/workload/steady_time.h"
@@ -17,6 +18,8 @@
   bool is_listed = true;
   /// Whether its runs are known under the present ownership.
   bool is_attached = false;
+  /// Earliest moment at which the worker leaves; absent unless it drains.
+  std::optional<SteadyTime> leaves_at;
   /// No new run before this moment: it failed runs or did not answer.
   SteadyTime usable_from;
   /// Runs that failed or hung here since the last success.
--- /dev/null
+++ b/src/entry/owner/drain_moves.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clementineloom/workload/drain_move.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/owner/worker_orders.h"
+
+namespace clementineloom::entry {
+
+/// @brief Stops runs on draining workers in time, so that their tasks go on elsewhere.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class DrainMoves {
+ public:
+  DrainMoves(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
+      : core_(core), orders_(orders) {}
+
+  /// @brief Notes what a worker says of its end.
+  void OnWorker(const workload::WorkerInfo& info) {
+    workload::PoolWorker& worker = core_.workers[info.id];
+    if (info.is_draining) {
+      worker.leaves_at = core_.port.Now() + workload::Milliseconds(info.remaining_ms);
+    } else {
+      worker.leaves_at.reset();
+    }
+  }
+
+  /// @brief Stops the runs whose moment comes before the next check.
+  /// @param until_next time until the next check
+  void Check(workload::Milliseconds until_next) {
+    std::vector<std::pair<std::string, workload::TaskRun>> moves;
+    for (const auto& [id, worker] : core_.workers) {
+      if (!worker.leaves_at || !worker.is_attached) {
+        continue;
+      }
+      for (const auto& [run, placed] : worker.runs) {
+        if (IsDue(placed, *worker.leaves_at, until_next)) {
+          moves.emplace_back(id, run);
+        }
+      }
+    }
+    for (const auto& [worker, run] : moves) {
+      Move(worker, run);
+    }
+  }
+
+ private:
+  bool IsDue(const workload::PlacedRun& placed, workload::SteadyTime leaves_at,
+             workload::Milliseconds until_next) const {
+    const workload::JobEntry* job = core_.jobs.Find(placed.run.task.step.job);
+    if (placed.stage != workload::RunStage::kRunning || job == nullptr || !job->IsOpen()) {
+      return false;
+    }
+    const auto stop_at =
+        workload::DrainStopAt(job->submission->steps[placed.run.task.step.step], placed,
+                              core_.port.Now(), {leaves_at, core_.options.stop_timeout});
+    return stop_at && *stop_at <= core_.port.Now() + until_next;
+  }
+
+  void Move(const std::string& worker, const workload::TaskRun& run) {
+    const auto time_left = std::chrono::duration_cast<workload::Milliseconds>(
+        *core_.workers[worker].leaves_at - core_.port.Now());
+    logging::LogEvent(logging::LogLevel::kInfo, "run_moved",
+                      {{"task", codec::TaskName(run.task)},
+                       {"run", run.run},
+                       {"worker", worker},
+                       {"worker_leaves_in_ms", time_left.count()}});
+    orders_.OrderStop(worker, run);
+    orders_.BreakGang(run);
+  }
+
+  OwnerCore<Platform, Port>& core_;
+  WorkerOrders<Platform, Port>& orders_;
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -14,6 +14,7 @@
 
 #include "clementineloom/workload/owner_contact.h"
 #include "clementineloom/workload/owner_election.h"
+#include "entry/owner/drain_moves.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/run_ends.h"
 #include "entry/owner/task_placement.h"
@@ -42,6 +43,7 @@
         ends_(core_, orders_),
         poller_(core_, orders_, ends_),
         placement_(core_, orders_),
+        drain_moves_(core_, orders_),
         took_over_at_(port.Now()) {
     core_.call_worker = [this](const std::string& id) { poller_.Poll(id); };
     core_.plan_soon = [this] { placement_.PlanSoon(); };
@@ -61,6 +63,7 @@
         link.born_at_ms != 0 && info.born_at_ms != 0 && info.born_at_ms != link.born_at_ms;
     worker.info = info;
     worker.is_listed = true;
+    drain_moves_.OnWorker(info);
     if (is_new_life) {
       poller_.BeginLife(info.id, info.born_at_ms);
     }
@@ -161,6 +164,7 @@
     }
     core_.advice.Expire(now);
     ExpireLeases(now);
+    drain_moves_.Check(kTick);
     DropOldJobs(now);
     placement_.PlanSoon();
     core_.port.After(kTick, core_.Guard([this] { Tick(); }));
@@ -259,6 +263,7 @@
   RunEnds<Platform, Port> ends_;
   WorkerPoller<Platform, Port> poller_;
   TaskPlacement<Platform, Port> placement_;
+  DrainMoves<Platform, Port> drain_moves_;
   const workload::SteadyTime took_over_at_;
   workload::SteadyTime last_beat_at_;
   // When more than half of the workers had answered.
--- a/src/entry/owner/owner_options.h
+++ b/src/entry/owner/owner_options.h
@@ -14,6 +14,8 @@
   std::uint64_t epoch = 0;
   /// Length of the leases that are granted.
   workload::Milliseconds lease{5'500};
+  /// Longest time that a worker takes to stop a run.
+  workload::Milliseconds stop_timeout{1'000};
   /// Time for which an ended job is kept.
   workload::Milliseconds retention{120'000};
   /// Address of the advice service; empty where there is none.
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -33,8 +33,9 @@
               "tenants":[{"name":"t","apiKeys":["key"],"guaranteed":{"gpus":8}}]})");
 }
 
-void StandInCluster::Register(const StandInWorker& worker, const std::string& state) {
-  store.Put("keyed.servers", worker.id(), worker.Entry(state));
+void StandInCluster::Register(const StandInWorker& worker, const std::string& state,
+                              std::int64_t remaining_ms) {
+  store.Put("keyed.servers", worker.id(), worker.Entry(state, remaining_ms));
 }
 
 void StandInCluster::Unregister(const StandInWorker& worker) {
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -27,7 +27,8 @@
 
   /// @brief Publishes a configuration with one queue for each of two priorities.
   void PublishConfig(std::uint64_t version);
-  void Register(const StandInWorker& worker, const std::string& state = "ready");
+  void Register(const StandInWorker& worker, const std::string& state = "ready",
+                std::int64_t remaining_ms = 0);
   void Unregister(const StandInWorker& worker);
 
   /// @brief Moves time on and checks the rules that hold at any moment.
--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -1,5 +1,6 @@
 #include "standin/standin_worker.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -14,6 +15,8 @@
   return {status, {}, json::serialize(body)};
 }
 
+constexpr std::int64_t kWhole = 100;
+
 std::uint64_t Unsigned(const json::object& body, const char* name) {
   return body.contains(name) ? body.at(name).to_number<std::uint64_t>() : 0;
 }
@@ -32,12 +35,13 @@
   });
 }
 
-std::string StandInWorker::Entry(const std::string& state) const {
+std::string StandInWorker::Entry(const std::string& state, std::int64_t remaining_ms) const {
   return json::serialize(
       json::object{{"service", "inspect"},
                    {"address", address_},
                    {"zone", "kolka"},
                    {"state", state},
+                   {"remainingMs", remaining_ms},
                    {"labels", json::array{"a", "r1"}},
                    {"born", born_ms_ + 1},
                    {"capacity", json::object{{"cpu", 8'000}, {"memMb", 1'000}, {"gpus", 8}}}});
@@ -61,6 +65,8 @@
     reply(Start(request));
   } else if (request.target == "/run-stop") {
     reply(Stop(request));
+  } else if (request.target == "/pace") {
+    reply(Pace(request));
   } else {
     Hold(request, std::move(reply));
   }
@@ -109,11 +115,15 @@
   if (known != running_.end() || run <= highest_ended_[task]) {
     return Json(409, {{"clockMs", ClockMs()}, {"reason", "old"}});
   }
-  running_[task] = {run, std::string(body.at("spec").as_string())};
+  StandInRun started{run, std::string(body.at("spec").as_string()), world_.ElapsedMs()};
+  if (body.contains("checkpoint")) {
+    started.resumed_percent = std::stoll(std::string(body.at("checkpoint").as_string()));
+  }
+  const auto rest = run_time_ * (kWhole - started.resumed_percent) / kWhole;
+  running_[task] = std::move(started);
   ++starts_[task];
-  world_.After(run_time_, [this, task, run] {
-    Finish(task, run, forced_end_.empty() ? "done" : forced_end_);
-  });
+  world_.After(
+      rest, [this, task, run] { Finish(task, run, forced_end_.empty() ? "done" : forced_end_); });
   return Json(200, {{"clockMs", ClockMs()}});
 }
 
@@ -130,6 +140,33 @@
   return Json(200, {{"clockMs", ClockMs()}});
 }
 
+net::HttpResponse StandInWorker::Pace(const net::HttpRequest& request) {
+  const json::object body = json::parse(request.body).as_object();
+  if (IsFenced(Unsigned(body, "fencingToken"))) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "fence"}});
+  }
+  const auto it = running_.find(std::string(body.at("task").as_string()));
+  if (it == running_.end() || it->second.run != Unsigned(body, "runId")) {
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "old"}});
+  }
+  it->second.pace_percent = body.at("percent").to_number<std::int64_t>();
+  return Json(200, {{"clockMs", ClockMs()}});
+}
+
+std::int64_t StandInWorker::FigureOf(const std::string& task) const {
+  const auto tail = tails_.find(task);
+  if (tail == tails_.end()) {
+    return 0;
+  }
+  std::int64_t highest_pace = 0;
+  for (const auto& [other, run] : running_) {
+    if (!tails_.contains(other)) {
+      highest_pace = std::max(highest_pace, run.pace_percent);
+    }
+  }
+  return tail->second.alone_ms + tail->second.disturbance_ms * highest_pace / kWhole;
+}
+
 void StandInWorker::Hold(const net::HttpRequest& request, SimWorld::Reply reply) {
   const json::object body = json::parse(request.body).as_object();
   if (IsFenced(Unsigned(body, "fencingToken"))) {
@@ -160,9 +197,10 @@
   if (it == running_.end() || it->second.run != run) {
     return;
   }
+  const std::string saved = CheckpointOf(it->second);
   running_.erase(it);
   highest_ended_[task] = std::max(highest_ended_[task], run);
-  ended_.push_back({++last_end_, task, run, how});
+  ended_.push_back({++last_end_, task, run, how, saved});
   for (const auto& waiter : std::exchange(waiters_, {})) {
     if (!std::exchange(waiter->is_over, true)) {
       waiter->reply(Lists());
@@ -170,14 +208,24 @@
   }
 }
 
+std::int64_t StandInWorker::PercentOf(const StandInRun& run) const {
+  const std::int64_t worked = (world_.ElapsedMs() - run.began_ms) * kWhole / run_time_.count();
+  return std::min(kWhole, run.resumed_percent + worked);
+}
+
+std::string StandInWorker::CheckpointOf(const StandInRun& run) const {
+  return saves_checkpoints_ ? std::to_string(PercentOf(run)) : std::string();
+}
+
 net::HttpResponse StandInWorker::Lists() const {
   json::array running;
   for (const auto& [task, run] : running_) {
-    running.push_back(json::array{task, run.run, "", 100});
+    running.push_back(
+        json::array{task, run.run, CheckpointOf(run), PercentOf(run), FigureOf(task)});
   }
   json::array ended;
   for (const End& it : ended_) {
-    ended.push_back(json::array{it.number, it.task, it.run, it.how, ""});
+    ended.push_back(json::array{it.number, it.task, it.run, it.how, it.saved});
   }
   return Json(200, {{"clockMs", ClockMs()},
                     {"born", born_ms_ + 1},
--- a/tests/standin/standin_worker.h
+++ b/tests/standin/standin_worker.h
@@ -24,10 +24,21 @@
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] const std::string& address() const { return address_; }
   /// @brief The entry that it registers.
-  [[nodiscard]] std::string Entry(const std::string& state = "ready") const;
+  /// @param remaining_ms least time until it leaves, while it drains
+  [[nodiscard]] std::string Entry(const std::string& state = "ready",
+                                  std::int64_t remaining_ms = 0) const;
 
   /// @brief Ends all runs in this way from now on; empty for success.
   void FailAll(std::string how) { forced_end_ = std::move(how); }
+  /// @brief Runs save their progress and resume from it.
+  void SaveCheckpoints() { saves_checkpoints_ = true; }
+  /// @brief A task shows a tail of response times that grows with the pace of the others.
+  /// @param disturbance_ms added while another task works at full pace
+  void ShowTail(const std::string& task, std::int64_t alone_ms, std::int64_t disturbance_ms) {
+    tails_[task] = {alone_ms, disturbance_ms};
+  }
+  /// @brief The figure that it reports of a task now.
+  [[nodiscard]] std::int64_t FigureOf(const std::string& task) const;
   /// @brief Forgets everything and begins another life at the same address.
   void Restart();
 
@@ -43,6 +54,11 @@
     std::string task;
     std::uint64_t run = 0;
     std::string how;
+    std::string saved;
+  };
+  struct Tail {
+    std::int64_t alone_ms = 0;
+    std::int64_t disturbance_ms = 0;
   };
   struct Waiter {
     SimWorld::Reply reply;
@@ -52,10 +68,13 @@
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
   [[nodiscard]] net::HttpResponse Start(const net::HttpRequest& request);
   [[nodiscard]] net::HttpResponse Stop(const net::HttpRequest& request);
+  [[nodiscard]] net::HttpResponse Pace(const net::HttpRequest& request);
   void Hold(const net::HttpRequest& request, SimWorld::Reply reply);
   void Finish(const std::string& task, std::uint64_t run, const std::string& how);
   void ExpireLease();
   [[nodiscard]] net::HttpResponse Lists() const;
+  [[nodiscard]] std::int64_t PercentOf(const StandInRun& run) const;
+  [[nodiscard]] std::string CheckpointOf(const StandInRun& run) const;
   [[nodiscard]] std::int64_t ClockMs() const { return world_.ElapsedMs() - born_ms_; }
   // Notes the token of an order. Returns whether the order is fenced.
   [[nodiscard]] bool IsFenced(std::uint64_t token);
@@ -66,6 +85,8 @@
   const std::string address_;
   const workload::Milliseconds run_time_;
   std::string forced_end_;
+  bool saves_checkpoints_ = false;
+  std::map<std::string, Tail> tails_;
   std::int64_t born_ms_ = 0;
   std::uint64_t token_ = 0;
   std::int64_t lease_until_ms_ = 0;
--- /dev/null
+++ b/tests/workload/drain_move_test.cc
@@ -0,0 +1,72 @@
+#include "clementineloom/workload/drain_move.h"
+
+#include <gtest/gtest.h>
+
+namespace clementineloom::workload {
+namespace {
+
+class DrainMoveTest : public testing::Test {
+ protected:
+  DrainMoveTest() {
+    spec_.estimate_ms = 10'000;
+    run_.placed_at = now_ - Milliseconds(2'000);
+    run_.progress_percent = 20;
+    times_ = {now_ + Milliseconds(3'000), Milliseconds(400)};
+  }
+
+  const SteadyTime now_ = SteadyTime() + Milliseconds(60'000);
+  StepSpec spec_;
+  PlacedRun run_;
+  DrainTimes times_;
+};
+
+// Guards against work that is thrown away although it would have ended before the worker leaves.
+TEST_F(DrainMoveTest, Run_ThatEndsInTime_IsLeftAlone) {
+  run_.progress_percent = 50;
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
+  spec_.saves_checkpoints = true;
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
+}
+
+// Guards against progress that is lost with the worker, and against a stop that comes too late.
+TEST_F(DrainMoveTest, Run_ThatSavesCheckpoints_IsStoppedShortlyBeforeTheEnd) {
+  spec_.saves_checkpoints = true;
+  const auto stop_at = DrainStopAt(spec_, run_, now_, times_);
+  ASSERT_TRUE(stop_at.has_value());
+  EXPECT_GT(*stop_at, now_ + Milliseconds(1'500));
+  EXPECT_LT(*stop_at, times_.leaves_at - times_.stop_timeout);
+}
+
+// Guards against a run that works on for seconds although all of it will be lost.
+TEST_F(DrainMoveTest, Run_WithoutCheckpointsAndLittleDone_IsStoppedAtOnce) {
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), now_);
+}
+
+// Guards against throwing away most of a run that may still end if the worker stays longer.
+TEST_F(DrainMoveTest, Run_WithoutCheckpointsAndMuchDone_IsLeftAlone) {
+  run_.placed_at = now_ - Milliseconds(20'000);
+  run_.progress_percent = 70;
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
+}
+
+// Guards against a service that is down until the lease of a worker that left has ended.
+TEST_F(DrainMoveTest, Run_OfAService_IsStoppedShortlyBeforeTheEnd) {
+  spec_.runs_until_cancelled = true;
+  run_.progress_percent = 100;
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_),
+            times_.leaves_at - times_.stop_timeout - Milliseconds(400));
+}
+
+// Guards against a pace that is taken from the work of an earlier run.
+TEST_F(DrainMoveTest, Run_ResumedFromACheckpoint_IsJudgedByItsEstimate) {
+  spec_.saves_checkpoints = true;
+  run_.checkpoint = "saved";
+  run_.progress_percent = 65;
+  run_.placed_at = now_ - Milliseconds(100);
+  EXPECT_NE(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
+  run_.progress_percent = 75;
+  EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
+}
+
+}  // namespace
+}  // namespace clementineloom::workload
