Pace the runs that fill idle processors beside service tasks

FillPacer lowers the pace of a worker's fills when a tail nears its target, to a stop if need be, and raises it again while tails are low; an image that disturbed on one worker begins slowly on others. Workers on which both run are asked for their lists every 350 ms.

Ruled out: a fixed share for each image (the disturbance changes within seconds); stopping and restarting fills (their work is lost).

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "clementineloom/workload/resources.h"
@@ -32,8 +33,11 @@
   /// Share of the work that is done, and when it last rose.
   std::uint32_t progress_percent = 0;
   SteadyTime progressed_at;
-  /// Share of full speed that the worker lets it work at.
-  std::uint32_t pace_percent = 100;
+  /// Share of full speed that the worker lets it work at; absent while that is not known.
+  std::optional<std::uint32_t> pace_percent = 100;
+  /// Newest figure of the worker: for a service task the tail of its response times in
+  /// milliseconds, else the thousandths of a core in use.
+  std::int64_t load_figure = 0;
 
   friend auto operator<=>(const PlacedRun&, const PlacedRun&) = default;
 };
--- /dev/null
+++ b/src/entry/owner/fill_pacing.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "clementineloom/workload/fill_pacer.h"
+#include "codec/task_name.h"
+#include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
+#include "entry/worker/pace_order.h"
+
+namespace clementineloom::entry {
+
+/// @brief Orders workers to pace the runs that fill idle processors beside service tasks.
+///
+/// A pace that a worker does not confirm is ordered again at its next report.
+/// Thread safety: none; use from the thread of the port.
+template <class Platform, CallPort Port>
+class FillPacing {
+ public:
+  explicit FillPacing(OwnerCore<Platform, Port>& core) : core_(core) {}
+
+  /// @brief Whether runs that fill and service tasks share a worker, so that it has to be asked
+  /// often.
+  [[nodiscard]] static bool IsMixed(const workload::PoolWorker& worker) {
+    bool fills = false;
+    bool serves = false;
+    for (const auto& [run, placed] : worker.runs) {
+      fills = fills || placed.fills_idle_cpu;
+      serves = serves || placed.tail_target_ms > 0;
+    }
+    return fills && serves;
+  }
+
+  /// @brief A worker has reported; its runs show the figures.
+  void OnReport(const std::string& id) {
+    std::vector<workload::ServiceLoad> services;
+    std::vector<workload::FillRun> fills;
+    for (const auto& [run, placed] : core_.workers[id].runs) {
+      if (placed.stage != workload::RunStage::kRunning) {
+        continue;
+      }
+      if (placed.tail_target_ms > 0) {
+        services.push_back({placed.load_figure, placed.tail_target_ms});
+      } else if (placed.fills_idle_cpu) {
+        fills.push_back({run, ImageOf(run), placed.pace_percent});
+      }
+    }
+    for (const workload::PaceChange& it : pacer_.OnReport(id, services, fills, core_.port.Now())) {
+      Order(id, it);
+    }
+  }
+
+ private:
+  std::string ImageOf(const workload::TaskRun& run) const {
+    const workload::JobEntry* job = core_.jobs.Find(run.task.step.job);
+    const bool is_known =
+        job != nullptr && job->submission && run.task.step.step < job->submission->steps.size();
+    return is_known ? job->submission->steps[run.task.step.step].image : std::string();
+  }
+
+  void Order(const std::string& id, const workload::PaceChange& change) {
+    logging::LogEvent(logging::LogLevel::kInfo, "run_paced",
+                      {{"task", codec::TaskName(change.run.task)},
+                       {"run", change.run.run},
+                       {"worker", id},
+                       {"percent", change.percent}});
+    const workload::WorkerInfo& info = core_.workers[id].info;
+    core_.port.Call(
+        info.address,
+        Platform::PaceRequest({change.run, change.percent, core_.options.epoch}, info.id),
+        OwnerTiming::kOrderTimeout,
+        core_.Guard([this, id, change](const net::ClientResult& result) {
+          OnAnswer(id, change, Platform::ParseOrder(result));
+        }));
+  }
+
+  void OnAnswer(const std::string& id, const workload::PaceChange& change,
+                const OrderAnswer& answer) {
+    core_.NoteClock(id, answer);
+    if (answer.status == OrderStatus::kFenced) {
+      core_.Lose("a worker has seen a higher epoch");
+      return;
+    }
+    workload::PlacedRun* placed = core_.FindRun(id, change.run);
+    if (placed == nullptr) {
+      return;
+    }
+    if (answer.status == OrderStatus::kDone) {
+      placed->pace_percent = change.percent;
+    } else {
+      placed->pace_percent.reset();
+    }
+  }
+
+  OwnerCore<Platform, Port>& core_;
+  workload::FillPacer pacer_;
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -15,6 +15,7 @@
 #include "clementineloom/workload/owner_contact.h"
 #include "clementineloom/workload/owner_election.h"
 #include "entry/owner/drain_moves.h"
+#include "entry/owner/fill_pacing.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/run_ends.h"
 #include "entry/owner/task_placement.h"
@@ -41,7 +42,8 @@
       : core_(port, jobs, operators, std::move(appender), std::move(options), std::move(on_lost)),
         orders_(core_),
         ends_(core_, orders_),
-        poller_(core_, orders_, ends_),
+        pacing_(core_),
+        poller_(core_, orders_, ends_, pacing_),
         placement_(core_, orders_),
         drain_moves_(core_, orders_),
         took_over_at_(port.Now()) {
@@ -141,6 +143,9 @@
       run.fills_idle_cpu = spec.fills_idle_cpu;
       run.tail_target_ms = spec.tail_target_ms;
     }
+    if (run.fills_idle_cpu) {
+      run.pace_percent.reset();
+    }
     workload::PoolWorker& worker = core_.workers[record.worker];
     if (worker.info.id.empty()) {
       worker.info.id = record.worker;
@@ -261,6 +266,7 @@
   OwnerCore<Platform, Port> core_;
   WorkerOrders<Platform, Port> orders_;
   RunEnds<Platform, Port> ends_;
+  FillPacing<Platform, Port> pacing_;
   WorkerPoller<Platform, Port> poller_;
   TaskPlacement<Platform, Port> placement_;
   DrainMoves<Platform, Port> drain_moves_;
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -9,6 +9,7 @@
 
 #include "clementineloom/workload/run_stall.h"
 #include "codec/task_name.h"
+#include "entry/owner/fill_pacing.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
@@ -27,8 +28,8 @@
 class WorkerPoller {
  public:
   WorkerPoller(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
-               RunEnds<Platform, Port>& ends)
-      : core_(core), orders_(orders), ends_(ends) {}
+               RunEnds<Platform, Port>& ends, FillPacing<Platform, Port>& pacing)
+      : core_(core), orders_(orders), ends_(ends), pacing_(pacing) {}
 
   /// @brief Calls a worker unless a call is on its way or there is nothing to ask.
   void Poll(const std::string& id) {
@@ -59,7 +60,10 @@
     if (link.failures == 0) {
       order.lease_until_ms = link.lease.Grant(core_.options.lease, core_.port.Now());
     }
-    order.wait_ms = order.lease_until_ms && !is_idle ? kPollWait.count() : 0;
+    if (order.lease_until_ms && !is_idle) {
+      const bool is_mixed = FillPacing<Platform, Port>::IsMixed(core_.workers[id]);
+      order.wait_ms = (is_mixed ? kPollWaitWhilePacing : kPollWait).count();
+    }
     const auto sent_at = core_.port.Now();
     const workload::WorkerInfo& info = core_.workers[id].info;
     core_.port.Call(
@@ -84,6 +88,8 @@
 
   // A third of the shortest lease, so that two lost calls end nothing.
   static constexpr workload::Milliseconds kPollWait{1'300};
+  // Tails are reported over half a second, and have to be answered within seconds.
+  static constexpr workload::Milliseconds kPollWaitWhilePacing{350};
   static constexpr workload::Milliseconds kPollSlack{700};
   static constexpr workload::Milliseconds kPollRetryDelay{200};
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
@@ -165,6 +171,7 @@
       }
     }
     TakeMissing(id, listed, sent_at, records);
+    pacing_.OnReport(id);
     if (records.empty() && last_end == link.acknowledged_end) {
       Poll(id);
       return;
@@ -193,6 +200,7 @@
     if (!item.checkpoint.empty()) {
       run->checkpoint = item.checkpoint;
     }
+    run->load_figure = item.load_figure;
     NoteProgress(id, *run, item.percent);
     if (run->stage == workload::RunStage::kStarting) {
       run->stage = workload::RunStage::kRunning;
@@ -251,6 +259,7 @@
   OwnerCore<Platform, Port>& core_;
   WorkerOrders<Platform, Port>& orders_;
   RunEnds<Platform, Port>& ends_;
+  FillPacing<Platform, Port>& pacing_;
 };
 
 }  // namespace clementineloom::entry
