Let larger instances own the workers first

Cause: on the grown fleet 8 of 36 instances have 0.5 of a core and the others 0.12. Instances now publish their share of a core, smaller ones claim 400 ms later, and the first owner of a new system is chosen 500 ms after the first read, when all are known.

Ruled out: a rank by the own share alone (the fleets whose instances are all small would wait for nothing); handing over to a larger instance that comes later (a planned change of owner for a gain that lasts until the next one).

--- a/include/clementineloom/workload/instance_record.h
+++ b/include/clementineloom/workload/instance_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 
 namespace clementineloom::workload {
@@ -10,6 +11,8 @@
   std::string instance;
   /// IP:PORT.
   std::string address;
+  /// Thousandths of a core that it may use; 0 where that is not known.
+  std::int64_t cpu_millicores = 0;
 
   friend auto operator<=>(const InstanceRecord&, const InstanceRecord&) = default;
 };
--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "clementineloom/workload/instance_record.h"
 #include "clementineloom/workload/owner_record.h"
 #include "clementineloom/workload/steady_time.h"
 
@@ -27,8 +28,17 @@
   /// Time from the answer to a claim to the next claim.
   static constexpr Milliseconds kClaimPause{400};
 
+  /// Larger instances claim first, by this time: they plan for a large fleet in time.
+  static constexpr Milliseconds kSmallerPause{400};
+  /// Time in which all instances of a new system tell their size.
+  static constexpr Milliseconds kStartPause{500};
+
   /// @param rank 0 to 1; the share of kSpread that this instance waits
-  OwnerElection(std::string instance, double rank);
+  /// @param cpu_millicores of this instance; 0 where they are not known
+  OwnerElection(std::string instance, double rank, std::int64_t cpu_millicores = 0);
+
+  /// @brief Notes an instance and its size.
+  void OnInstance(const InstanceRecord& instance);
 
   /// @brief Notes a record of the owner. A record of this instance that comes before the instance
   /// has claimed is that of a former life, which has surely ended.
@@ -59,6 +69,9 @@
 
   const std::string instance_;
   const Milliseconds delay_;
+  const std::int64_t cpu_millicores_;
+  bool has_larger_peer_ = false;
+  std::optional<SteadyTime> first_read_;
   std::optional<OwnerRecord> owner_;
   std::optional<SteadyTime> last_read_;
   // Last sign of the owner, or the end of the last outage.
--- a/src/codec/workload_record_codec.cc
+++ b/src/codec/workload_record_codec.cc
@@ -64,7 +64,8 @@
 }
 
 KeyedValue Encode(const InstanceSet& it) {
-  return {Key(kInstance, it.instance.instance), json::serialize(json::value(it.instance.address))};
+  return {Key(kInstance, it.instance.instance),
+          json::serialize(json::array{it.instance.address, it.instance.cpu_millicores})};
 }
 
 Result<workload::TaskRecord> ReadTask(const json::value& value) {
@@ -135,8 +136,12 @@
       return WorkloadRecord(std::move(record));
     }
     case kInstance: {
-      const std::string address(value == nullptr ? "" : value->as_string());
-      return WorkloadRecord(InstanceSet{{std::move(name), address}});
+      if (value == nullptr) {
+        return WorkloadRecord(InstanceSet{{std::move(name), {}, 0}});
+      }
+      const json::array& row = value->as_array();
+      return WorkloadRecord(InstanceSet{{std::move(name), std::string(row.at(0).as_string()),
+                                         row.at(1).to_number<std::int64_t>()}});
     }
     default:
       return Refuse(ResultCode::kCorruptRecord, "unknown kind of record");
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -44,7 +45,7 @@
         settings_(std::move(settings)),
         hooks_(std::move(hooks)),
         seed_(seed),
-        election_(settings_.instance, RankOf(seed)),
+        election_(settings_.instance, RankOf(seed), Millicores()),
         jobs_topic_{settings_.store, Platform::kJobsTopic},
         operator_follower_(port, {settings_.store, Platform::kOperatorTopic}, OperatorPace(),
                            {[this](const auto& items) { OnOperatorReload(items); },
@@ -92,6 +93,11 @@
     return static_cast<double>(seed % kSteps) / kSteps;
   }
 
+  std::int64_t Millicores() const {
+    constexpr double kMillicoresPerCore = 1'000;
+    return std::llround(settings_.processor_share * kMillicoresPerCore);
+  }
+
   static TopicFollowerOptions FollowerPace() { return {}; }
   // Jobs reach the owner with little delay.
   static TopicFollowerOptions OwnerPace() {
@@ -155,8 +161,8 @@
     }
     OnJobItems(items);
     if (!std::exchange(is_announced_, true)) {
-      appender_.Append({codec::EncodeWorkloadRecord(
-                           workload::InstanceSet{{settings_.instance, settings_.listen}})},
+      appender_.Append({codec::EncodeWorkloadRecord(workload::InstanceSet{
+                           {settings_.instance, settings_.listen, Millicores()}})},
                        [](AppendStatus) {});
     }
     logging::LogEvent(logging::LogLevel::kInfo, "jobs_loaded",
@@ -200,6 +206,7 @@
     }
     if (const auto* set = std::get_if<workload::InstanceSet>(&*record)) {
       peers_.Add(set->instance);
+      election_.OnInstance(set->instance);
       return false;
     }
     if (const auto* set = std::get_if<workload::OwnerSet>(&*record)) {
--- a/src/settings/daemon_fields.cc
+++ b/src/settings/daemon_fields.cc
@@ -25,6 +25,13 @@
           .meaning = meaning};
 }
 
+KeySpec Decimal(std::string_view key, std::string_view unit, std::uint64_t min, std::uint64_t max,
+                std::string_view meaning) {
+  KeySpec spec = Number(key, unit, min, max, meaning);
+  spec.kind = ValueKind::kDecimal;
+  return spec;
+}
+
 }  // namespace
 
 const std::vector<SettingsField<CommonSettings>>& CommonFields() {
@@ -122,6 +129,9 @@
        &S::advice},
       {Optional("log_level", ValueKind::kLogLevel, "lowest severity that is logged"),
        &S::log_level},
+      {Decimal("processor_share", "cores", 0, 1'024,
+               "processors that it may use; larger instances own the workers first; 0 for unknown"),
+       &S::processor_share},
       {Number("drain_timeout_ms", "ms", 0, kHourMs,
               "time for requests in progress to finish on SIGTERM"),
        &S::drain_timeout_ms},
--- a/src/settings/object_check.cc
+++ b/src/settings/object_check.cc
@@ -127,6 +127,8 @@
       return CheckAddressList(spec, value);
     case ValueKind::kNumber:
       return CheckNumber(spec, value);
+    case ValueKind::kDecimal:
+      return CheckDecimal(spec, value);
     case ValueKind::kBool:
       has_type = value.is_bool();
       break;
@@ -181,6 +183,17 @@
   }
 }
 
+void ObjectCheck::CheckDecimal(const KeySpec& spec, const json::value& value) {
+  if (!value.is_number()) {
+    Add(ResultCode::kWrongType, spec.key, "number expected");
+    return;
+  }
+  const double number = value.to_number<double>();
+  if (number < static_cast<double>(spec.min) || number > static_cast<double>(spec.max)) {
+    Add(ResultCode::kOutOfRange, spec.key, RangeText(spec) + " expected");
+  }
+}
+
 void ObjectCheck::CheckAddress(std::string_view key, const json::value& value,
                                std::uint16_t min_port) {
   if (!value.is_string()) {
--- a/src/settings/object_check.h
+++ b/src/settings/object_check.h
@@ -38,6 +38,7 @@
   void CheckValue(const KeySpec& spec, const boost::json::value& value);
   void CheckText(const KeySpec& spec, std::string_view text);
   void CheckNumber(const KeySpec& spec, const boost::json::value& value);
+  void CheckDecimal(const KeySpec& spec, const boost::json::value& value);
   void CheckAddress(std::string_view key, const boost::json::value& value, std::uint16_t min_port);
   void CheckAddressList(const KeySpec& spec, const boost::json::value& value);
 
--- a/src/settings/settings_field.h
+++ b/src/settings/settings_field.h
@@ -3,6 +3,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <cstdint>
+#include <sstream>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -18,7 +19,8 @@
 /// The default of an optional key is the member's initial value, so that page and code agree.
 template <class S>
 struct SettingsField {
-  using Member = std::variant<std::string S::*, std::uint32_t S::*, std::vector<std::string> S::*>;
+  using Member = std::variant<std::string S::*, std::uint32_t S::*, double S::*,
+                              std::vector<std::string> S::*>;
 
   KeySpec spec;
   Member member;
@@ -28,6 +30,11 @@
 
 inline std::string FallbackText(const std::string& value) { return "\"" + value + "\""; }
 inline std::string FallbackText(std::uint32_t value) { return std::to_string(value); }
+inline std::string FallbackText(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
 inline std::string FallbackText(const std::vector<std::string>&) { return "[]"; }
 
 inline void Assign(std::string& member, const boost::json::value& value) {
@@ -38,6 +45,10 @@
   member = value.to_number<std::uint32_t>();
 }
 
+inline void Assign(double& member, const boost::json::value& value) {
+  member = value.to_number<double>();
+}
+
 inline void Assign(std::vector<std::string>& member, const boost::json::value& value) {
   for (const boost::json::value& it : value.get_array()) {
     member.emplace_back(it.get_string());
--- a/src/settings/value_kind.h
+++ b/src/settings/value_kind.h
@@ -19,6 +19,8 @@
   kLogLevel,
   kAdjacency,
   kNumber,
+  /// A number that may have decimals.
+  kDecimal,
   kBool,
   kObject,
   kObjectList
@@ -43,6 +45,8 @@
       return "adjacency";
     case ValueKind::kNumber:
       return "whole number";
+    case ValueKind::kDecimal:
+      return "number";
     case ValueKind::kBool:
       return "true or false";
     case ValueKind::kObject:
--- a/src/workload/owner_election.cc
+++ b/src/workload/owner_election.cc
@@ -5,9 +5,10 @@
 
 namespace clementineloom::workload {
 
-OwnerElection::OwnerElection(std::string instance, double rank)
+OwnerElection::OwnerElection(std::string instance, double rank, std::int64_t cpu_millicores)
     : instance_(std::move(instance)),
-      delay_(static_cast<std::int64_t>(rank * static_cast<double>(kSpread.count()))) {
+      delay_(static_cast<std::int64_t>(rank * static_cast<double>(kSpread.count()))),
+      cpu_millicores_(cpu_millicores) {
   assert(rank >= 0 && rank <= 1);
 }
 
@@ -18,7 +19,13 @@
   }
 }
 
+void OwnerElection::OnInstance(const InstanceRecord& instance) {
+  const bool is_larger = cpu_millicores_ > 0 && instance.cpu_millicores > cpu_millicores_;
+  has_larger_peer_ = has_larger_peer_ || (is_larger && instance.instance != instance_);
+}
+
 void OwnerElection::OnRead(SteadyTime now) {
+  first_read_ = first_read_.value_or(now);
   if (!last_read_ || now - *last_read_ > kReadGap) {
     last_sign_ = now;
   }
@@ -34,10 +41,14 @@
   if (!is_readable_ || now - *last_read_ > kReadGap || now < may_claim_from_) {
     return false;
   }
+  if (!owner_ && cpu_millicores_ > 0 && now < *first_read_ + kStartPause) {
+    return false;
+  }
   const bool is_free =
       !owner_ || owner_->phase == OwnerPhase::kResigned || owner_->instance == instance_;
   const Milliseconds silence = is_free ? Milliseconds(0) : kSilence;
-  return now >= last_sign_ + silence + delay_;
+  const Milliseconds pause = has_larger_peer_ ? kSmallerPause : Milliseconds(0);
+  return now >= last_sign_ + silence + delay_ + pause;
 }
 
 std::uint64_t OwnerElection::NextEpoch(std::uint64_t nonce) const {
--- a/tests/codec/workload_record_codec_test.cc
+++ b/tests/codec/workload_record_codec_test.cc
@@ -69,7 +69,7 @@
       workload::JobEndSet{job.id, workload::JobState::kFailed},
       workload::JobEndSet{job.id, std::nullopt},
       workload::OwnerSet{{5, "e", workload::OwnerPhase::kResigned}},
-      workload::InstanceSet{{"e", "10.0.0.1:80"}}};
+      workload::InstanceSet{{"e", "10.0.0.1:80", 250}}};
   for (const WorkloadRecord& it : records) {
     EXPECT_EQ(Decode(EncodeWorkloadRecord(it)), it) << it.index();
   }
--- a/tests/workload/owner_election_test.cc
+++ b/tests/workload/owner_election_test.cc
@@ -28,6 +28,36 @@
   EXPECT_TRUE(election_.MayClaim(now_));
 }
 
+// Guards against a small instance that owns a large fleet, which it cannot plan for in time.
+TEST_F(OwnerElectionTest, MayClaim_OfASmallerInstance_ComesAfterTheLargerOnes) {
+  OwnerElection small("small", 0.0, 120);
+  OwnerElection large("large", 1.0, 500);
+  for (OwnerElection* it : {&small, &large}) {
+    it->OnInstance({"small", "10.0.0.1:80", 120});
+    it->OnInstance({"large", "10.0.0.2:80", 500});
+    it->OnRead(now_);
+    it->OnOwner({1, "other", OwnerPhase::kActive}, now_);
+  }
+  for (; !large.MayClaim(now_); now_ += Milliseconds(10)) {
+    large.OnRead(now_);
+    small.OnRead(now_);
+    EXPECT_FALSE(small.MayClaim(now_));
+  }
+  now_ += Milliseconds(100);
+  small.OnRead(now_);
+  EXPECT_TRUE(small.MayClaim(now_));
+}
+
+// Guards against a claim of the first start, before the instances know each other's sizes.
+TEST_F(OwnerElectionTest, MayClaim_AtTheFirstStart_WaitsForTheOthersToTellTheirSize) {
+  OwnerElection election("me", 0.0, 120);
+  election.OnRead(now_);
+  EXPECT_FALSE(election.MayClaim(now_));
+  now_ += Milliseconds(500);
+  election.OnRead(now_);
+  EXPECT_TRUE(election.MayClaim(now_));
+}
+
 // Guards against an owner that is replaced while it is alive, or never.
 TEST_F(OwnerElectionTest, MayClaim_AfterTheSilenceOfAnother_IsTrue) {
   election_.OnRead(now_);
