Keep the claims of urgent tasks from plan to plan

Cause: claims were made anew in each plan. The claims of a plan are now given to the next one, which keeps that room from all others until the task has been placed. Besides, urgent work waits for runs that are about to end by themselves (400 ms by the pace of their progress, and not once they are 300 ms overdue) instead of stopping them.

Ruled out: placing gangs before single tasks (it turns the order by due time around); claims that outlive a change of owner (the next owner plans anew).

The new test of the planner fails without the kept claims.

--- a/bench/task_planner_bench.cc
+++ b/bench/task_planner_bench.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "clementineloom/workload/task_planner.h"
 
@@ -49,7 +50,7 @@
         blocked.insert(run.task);
       }
     }
-    return PlanStarts({jobs_, workers_, evacuated_, blocked, advice_, now_, kUnixNowMs});
+    return PlanStarts({jobs_, workers_, evacuated_, blocked, advice_, claims_, now_, kUnixNowMs});
   }
 
  private:
@@ -97,6 +98,7 @@
   WorkerPool workers_;
   std::set<std::string> evacuated_;
   AdviceBook advice_;
+  std::vector<RoomClaim> claims_;
   SteadyTime now_ = SteadyTime() + Milliseconds(1'000'000);
 };
 
--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -24,6 +24,9 @@
     return racks_;
   }
 
+  /// @brief The room of a worker, or null if it takes no runs.
+  [[nodiscard]] WorkerRoom* Find(const std::string& worker) const;
+
   /// @brief Lists the runs that may be stopped for a more urgent task, once for the plan.
   /// @param priority of that task; only larger numbers are stopped
   void ListVictims(std::uint32_t priority);
--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,22 +10,32 @@
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/preemption.h"
+#include "clementineloom/workload/room_claim.h"
 
 namespace clementineloom::workload::detail {
 
 /// @brief Claims room for urgent tasks that found none, and stops less urgent runs for it.
 ///
-/// A claim is made anew in each plan until the room is there. Thread safety: none.
+/// A claim is made anew in each plan until the room is there. The claims of the last plan come
+/// first, so that the runs which it stopped end for the tasks that they were stopped for.
+/// Thread safety: none.
 class UrgentClaims {
  public:
   /// @param request and rooms have to outlive it
-  UrgentClaims(const PlanRequest& request, RoomTable& rooms) : request_(request), rooms_(rooms) {}
+  UrgentClaims(const PlanRequest& request, RoomTable& rooms);
 
-  /// @brief Claims room for the tasks of a step.
+  /// @brief Keeps the room that the last plan claimed for a step from all other steps.
+  void Hold(const StartCandidate& step);
+
+  /// @brief Gives the room that is held for a step back, before the step is placed.
+  void Release(const StartCandidate& step);
+
+  /// @brief Claims room for the tasks of a step. Precondition: none is held for it.
   /// @param placed tasks of it, from the first, that have been given room
   void MakeRoom(const StartCandidate& step, std::size_t placed);
 
   [[nodiscard]] const std::vector<Preemption>& preemptions() const { return preemptions_; }
+  [[nodiscard]] const std::vector<RoomClaim>& claims() const { return claims_; }
 
  private:
   struct Choice {
@@ -41,6 +52,11 @@
   // Tries to claim room for all tasks on copies of the rack's rooms.
   [[nodiscard]] std::optional<RackClaim> TryRack(const StartCandidate& step,
                                                  const std::vector<WorkerRoom*>& rack) const;
+  // The room that the last plan claimed for a task, or null.
+  [[nodiscard]] WorkerRoom* LastRoom(const TaskId& task) const;
+  // That room, if it is or becomes free without another stop.
+  [[nodiscard]] std::optional<Choice> KeepLast(const StartCandidate& step,
+                                               const TaskId& task) const;
   // Where the least work is lost for one task.
   [[nodiscard]] std::optional<Choice> Choose(const std::vector<WorkerRoom*>& rooms,
                                              const StartCandidate& step) const;
@@ -49,6 +65,8 @@
   const PlanRequest& request_;
   RoomTable& rooms_;
   std::vector<Preemption> preemptions_;
+  std::vector<RoomClaim> claims_;
+  std::map<TaskId, WorkerRoom*> last_rooms_;
 };
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -43,6 +43,12 @@
     has_fill_tasks = has_fill_tasks || spec.fills_idle_cpu;
   }
 
+  /// @brief Keeps room for a task from all others, or gives it back with a negative amount.
+  void Hold(const Resources& amount) {
+    free = free - amount;
+    free_later = free_later - amount;
+  }
+
   /// @brief Counts on the room of a run that this plan stops. @return whether it was a victim.
   bool Stop(const PlacedRun& run) {
     const auto it = std::find_if(victims.begin(), victims.end(),
--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -30,6 +30,11 @@
   /// The run's own fill or service role, which decides whom it disturbs.
   bool fills_idle_cpu = false;
   std::int64_t tail_target_ms = 0;
+  /// The checkpoint that the run resumed from.
+  std::string checkpoint_at_start;
+  /// The first share of the work that was reported as done, and when.
+  std::uint32_t first_percent = 0;
+  SteadyTime first_percent_at;
   /// Share of the work that is done, and when it last rose.
   std::uint32_t progress_percent = 0;
   SteadyTime progressed_at;
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "clementineloom/workload/advice_book.h"
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/room_claim.h"
 #include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_pool.h"
 
@@ -20,6 +22,8 @@
   /// Tasks whose runs still hold room somewhere, or that must not start yet.
   const std::set<TaskId>& blocked;
   const AdviceBook& advice;
+  /// Claims of the last plan: the runs that it stopped end for these tasks.
+  const std::vector<RoomClaim>& claims;
   SteadyTime now;
   std::int64_t unix_now_ms = 0;
 };
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -7,6 +7,7 @@
 #include "clementineloom/workload/advice_question.h"
 #include "clementineloom/workload/planned_start.h"
 #include "clementineloom/workload/preemption.h"
+#include "clementineloom/workload/room_claim.h"
 
 namespace clementineloom::workload {
 
@@ -14,6 +15,8 @@
 struct StartPlan {
   std::vector<PlannedStart> starts;
   std::vector<Preemption> preemptions;
+  /// Where urgent tasks wait for room; the next plan has to know them.
+  std::vector<RoomClaim> claims;
   /// Question for the most urgent step that lacks approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -66,9 +66,10 @@
       }
     }
     const workload::PlanRequest request{
-        core_.jobs,   core_.workers,    core_.operators.evacuated(), blocked,
-        core_.advice, core_.port.Now(), core_.port.UnixNowMs()};
+        core_.jobs, core_.workers,    core_.operators.evacuated(), blocked, core_.advice,
+        claims_,    core_.port.Now(), core_.port.UnixNowMs()};
     workload::StartPlan plan = workload::PlanStarts(request);
+    claims_ = std::move(plan.claims);
     if (plan.question && !is_asking_) {
       Ask(*plan.question);
     }
@@ -163,6 +164,8 @@
 
   OwnerCore<Platform, Port>& core_;
   WorkerOrders<Platform, Port>& orders_;
+  // Where urgent tasks wait for room, by the last plan.
+  std::vector<workload::RoomClaim> claims_;
   bool is_plan_due_ = false;
   // When the last plan ended, and the time that it took.
   workload::SteadyTime planned_at_;
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -215,6 +215,10 @@
   // Moves a run that stands still, and rests its worker.
   void NoteProgress(const std::string& id, workload::PlacedRun& run, std::uint32_t percent) {
     const auto now = core_.port.Now();
+    if (run.first_percent_at == workload::SteadyTime()) {
+      run.first_percent = percent;
+      run.first_percent_at = now;
+    }
     if (percent != run.progress_percent || run.progressed_at == workload::SteadyTime()) {
       run.progress_percent = percent;
       run.progressed_at = now;
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -1,17 +1,20 @@
 #include "clementineloom/workload/detail/room_table.h"
 
+#include <algorithm>
+
+#include "clementineloom/workload/detail/ends_soon.h"
 #include "clementineloom/workload/detail/victim_search.h"
 
 namespace clementineloom::workload::detail {
 namespace {
 
-WorkerRoom RoomOf(const PoolWorker& worker) {
+WorkerRoom RoomOf(const PoolWorker& worker, SteadyTime now) {
   WorkerRoom room;
   room.worker = &worker;
   room.free = worker.Free();
   room.free_later = room.free;
   for (const auto& [run, placed] : worker.runs) {
-    if (placed.stage == RunStage::kStopping) {
+    if (placed.stage == RunStage::kStopping || EndsSoon(placed, now)) {
       room.free_later = room.free_later + placed.reserved;
     }
     room.has_service_tasks = room.has_service_tasks || placed.tail_target_ms > 0;
@@ -26,7 +29,7 @@
   rooms_.reserve(request.workers.size());
   for (const auto& [id, worker] : request.workers) {
     if (worker.TakesRuns(request.now) && !request.evacuated.contains(worker.info.data_centre)) {
-      rooms_.push_back(RoomOf(worker));
+      rooms_.push_back(RoomOf(worker, request.now));
     }
   }
   for (WorkerRoom& it : rooms_) {
@@ -44,6 +47,14 @@
   return it == racks_.end() ? none : it->second;
 }
 
+WorkerRoom* RoomTable::Find(const std::string& worker) const {
+  // The rooms are in the order of the workers' ids.
+  const auto it = std::lower_bound(
+      all_.begin(), all_.end(), worker,
+      [](const WorkerRoom* room, const std::string& id) { return room->worker->info.id < id; });
+  return it == all_.end() || (*it)->worker->info.id != worker ? nullptr : *it;
+}
+
 void RoomTable::ListVictims(std::uint32_t priority) {
   if (std::exchange(has_victims_, true)) {
     return;
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -8,6 +8,44 @@
 
 namespace clementineloom::workload::detail {
 
+UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms)
+    : request_(request), rooms_(rooms) {
+  for (const RoomClaim& it : request.claims) {
+    if (WorkerRoom* room = rooms.Find(it.worker)) {
+      last_rooms_.emplace(it.task, room);
+    }
+  }
+}
+
+void UrgentClaims::Hold(const StartCandidate& step) {
+  for (const std::uint32_t index : step.task_indexes) {
+    if (WorkerRoom* room = LastRoom({step.step, index})) {
+      room->Hold(step.spec().Reserved());
+    }
+  }
+}
+
+void UrgentClaims::Release(const StartCandidate& step) {
+  for (const std::uint32_t index : step.task_indexes) {
+    if (WorkerRoom* room = LastRoom({step.step, index})) {
+      room->Hold(Resources{} - step.spec().Reserved());
+    }
+  }
+}
+
+WorkerRoom* UrgentClaims::LastRoom(const TaskId& task) const {
+  const auto it = last_rooms_.find(task);
+  return it == last_rooms_.end() ? nullptr : it->second;
+}
+
+std::optional<UrgentClaims::Choice> UrgentClaims::KeepLast(const StartCandidate& step,
+                                                           const TaskId& task) const {
+  WorkerRoom* room = LastRoom(task);
+  const bool is_kept = room != nullptr && FitCount(*room, room->free_later, step) > 0 &&
+                       IsAllowed(*room, step, request_);
+  return is_kept ? std::optional(Choice{room, {}, 0}) : std::nullopt;
+}
+
 void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed) {
   rooms_.ListVictims(step.priority());
   if (step.spec().prefers_one_rack) {
@@ -15,7 +53,10 @@
     return;
   }
   for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
-    const auto choice = Choose(rooms_.On({}), step);
+    auto choice = KeepLast(step, {step.step, step.task_indexes[n]});
+    if (!choice) {
+      choice = Choose(rooms_.On({}), step);
+    }
     if (!choice) {
       return;
     }
@@ -25,7 +66,13 @@
 
 void UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
   std::optional<RackClaim> best;
+  if (const WorkerRoom* last = LastRoom({step.step, step.task_indexes.front()})) {
+    best = TryRack(step, rooms_.On(last->worker->info.rack));
+  }
   for (const auto& [name, rack] : rooms_.racks()) {
+    if (best && best->cost == 0) {
+      break;
+    }
     auto claim = TryRack(step, rack);
     if (claim && (!best || claim->cost < best->cost)) {
       best = std::move(claim);
@@ -98,6 +145,7 @@
     preemptions_.push_back({choice.room->worker->info.id, it->run, {step.step, index}});
   }
   choice.room->Take(step.step, step.spec());
+  claims_.push_back({{step.step, index}, choice.room->worker->info.id});
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "clementineloom/workload/detail/ends_soon.h"
+
 namespace clementineloom::workload::detail {
 namespace {
 
@@ -48,7 +50,7 @@
                               const JobTable& jobs, SteadyTime now) {
   std::vector<Victim> victims;
   for (const auto& [id, run] : worker.runs) {
-    if (run.stage == RunStage::kStopping || run.priority <= priority) {
+    if (run.stage == RunStage::kStopping || run.priority <= priority || EndsSoon(run, now)) {
       continue;
     }
     const StepSpec* spec = SpecOf(jobs, id);
--- a/src/workload/drain_move.cc
+++ b/src/workload/drain_move.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "clementineloom/workload/expected_rest.h"
+
 namespace clementineloom::workload {
 namespace {
 
@@ -11,22 +13,18 @@
 // For the way of the order, and for what is heard of a stop before the worker is gone.
 constexpr Milliseconds kOrderMargin{400};
 
-// Time that the run still needs: from its pace so far, else from the estimate.
-Milliseconds ExpectedRest(const StepSpec& spec, const PlacedRun& run, SteadyTime now) {
-  const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - run.placed_at);
-  if (run.progress_percent == 0 || run.is_adopted || !run.checkpoint.empty()) {
-    // Neither the start nor the share of an earlier run is known.
-    const std::int64_t rest_percent = kWhole - std::min(run.progress_percent, kWhole);
-    return Milliseconds(spec.estimate_ms * rest_percent / kWhole);
-  }
-  return elapsed * (kWhole - std::min(run.progress_percent, kWhole)) / run.progress_percent;
+// By its pace so far, or else by the caller's estimate.
+Milliseconds RestOf(const StepSpec& spec, const PlacedRun& run, SteadyTime now) {
+  const std::uint32_t done = std::min(run.progress_percent, kWhole);
+  const Milliseconds estimate(spec.estimate_ms * (kWhole - done) / kWhole);
+  return ExpectedRest(run, now).value_or(estimate);
 }
 
 }  // namespace
 
 std::optional<SteadyTime> DrainStopAt(const StepSpec& spec, const PlacedRun& run, SteadyTime now,
                                       const DrainTimes& times) {
-  if (!spec.runs_until_cancelled && now + ExpectedRest(spec, run, now) <= times.leaves_at) {
+  if (!spec.runs_until_cancelled && now + RestOf(spec, run, now) <= times.leaves_at) {
     return std::nullopt;
   }
   if (spec.saves_checkpoints || spec.runs_until_cancelled) {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -36,7 +36,19 @@
   explicit Pass(const PlanRequest& request)
       : request_(request), rooms_(request), claims_(request, rooms_) {}
 
+  // Keeps what the last plan claimed for urgent steps from those that are placed before them.
+  void Hold(const std::vector<StartCandidate>& steps) {
+    for (const StartCandidate& it : steps) {
+      if (it.priority() == kPreemptingPriority) {
+        claims_.Hold(it);
+      }
+    }
+  }
+
   void Place(const StartCandidate& step) {
+    if (step.priority() == kPreemptingPriority) {
+      claims_.Release(step);
+    }
     const std::size_t before = plan_.starts.size();
     if (step.spec().is_gang) {
       PlaceGang(step);
@@ -54,6 +66,7 @@
 
   StartPlan Take() {
     plan_.preemptions = claims_.preemptions();
+    plan_.claims = claims_.claims();
     return std::move(plan_);
   }
 
@@ -68,6 +81,7 @@
     placed.placed_at = request_.now;
     placed.priority = step.priority();
     placed.checkpoint = checkpoint;
+    placed.checkpoint_at_start = checkpoint;
     placed.fills_idle_cpu = spec.fills_idle_cpu;
     placed.tail_target_ms = spec.tail_target_ms;
     return {worker, std::move(placed), request_.advice.Ticket(step.step, worker, request_.now)};
@@ -197,6 +211,7 @@
     return {};
   }
   Pass pass(request);
+  pass.Hold(candidates);
   for (const StartCandidate& it : candidates) {
     pass.Place(it);
   }
--- a/tests/workload/drain_move_test.cc
+++ b/tests/workload/drain_move_test.cc
@@ -11,6 +11,7 @@
     spec_.estimate_ms = 10'000;
     run_.placed_at = now_ - Milliseconds(2'000);
     run_.progress_percent = 20;
+    run_.progressed_at = now_;
     times_ = {now_ + Milliseconds(3'000), Milliseconds(400)};
   }
 
@@ -60,7 +61,7 @@
 // Guards against a pace that is taken from the work of an earlier run.
 TEST_F(DrainMoveTest, Run_ResumedFromACheckpoint_IsJudgedByItsEstimate) {
   spec_.saves_checkpoints = true;
-  run_.checkpoint = "saved";
+  run_.checkpoint_at_start = "saved";
   run_.progress_percent = 65;
   run_.placed_at = now_ - Milliseconds(100);
   EXPECT_NE(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
--- a/tests/workload/task_planner_test.cc
+++ b/tests/workload/task_planner_test.cc
@@ -39,7 +39,7 @@
     jobs_.Apply(SubmissionSet{id, submission});
   }
   StartPlan Plan(std::int64_t unix_now_ms = 100'000) {
-    return PlanStarts({jobs_, workers_, evacuated_, blocked_, advice_, now_, unix_now_ms});
+    return PlanStarts({jobs_, workers_, evacuated_, blocked_, advice_, claims_, now_, unix_now_ms});
   }
   // Puts the starts of a plan on their workers.
   void Carry(const StartPlan& plan) {
@@ -56,6 +56,7 @@
   std::set<std::string> evacuated_;
   std::set<TaskId> blocked_;
   AdviceBook advice_;
+  std::vector<RoomClaim> claims_;
   SteadyTime now_ = SteadyTime() + Milliseconds(1'000'000);
 };
 
@@ -180,6 +181,62 @@
   EXPECT_EQ(plan.preemptions[0].run.task.step.job, "gang");
 }
 
+// Guards against room that was cleared for a gang on one rack going to other urgent tasks, for
+// which another rack is cleared then.
+TEST_F(TaskPlannerTest, Urgent_GangOnOneRack_KeepsTheRoomThatWasClearedForIt) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r1");
+  AddWorker("w3", "r2");
+  Submit("bulk", Step(3, 8), 2);
+  Carry(Plan());
+  StepSpec gang = Step(2, 8);
+  gang.is_gang = true;
+  gang.prefers_one_rack = true;
+  Submit("gang", gang, 0, 90'000);
+  const StartPlan first = Plan();
+  ASSERT_EQ(first.preemptions.size(), 2U);
+  for (const Preemption& it : first.preemptions) {
+    workers_[it.worker].runs.at(it.run).stage = RunStage::kStopping;
+  }
+  claims_ = first.claims;
+  Submit("earlier", Step(1, 8), 0, 80'000);
+  const StartPlan second = Plan();
+  ASSERT_EQ(second.preemptions.size(), 1U);
+  EXPECT_EQ(second.preemptions[0].worker, "w3");
+  EXPECT_EQ(second.preemptions[0].beneficiary.step.job, "earlier");
+}
+
+// Guards against work that is thrown away a moment before it ends by itself.
+TEST_F(TaskPlannerTest, Urgent_WhenARunIsAboutToEnd_WaitsForItsRoom) {
+  AddWorker("w1", "r1");
+  Submit("bulk", Step(1, 8), 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 8), 0);
+  PlacedRun& run = workers_["w1"].runs.begin()->second;
+  now_ += Milliseconds(9'000);
+  run.progress_percent = 90;
+  run.progressed_at = now_;
+  EXPECT_EQ(Plan().preemptions.size(), 1U);
+  now_ += Milliseconds(700);
+  EXPECT_TRUE(Plan().preemptions.empty());
+  Submit("more", Step(1, 1), 2);
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
+// Guards against urgent work that waits for a run that goes on for longer than expected.
+TEST_F(TaskPlannerTest, Urgent_WhenARunIsOverdue_StopsIt) {
+  AddWorker("w1", "r1");
+  Submit("bulk", Step(1, 8), 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 8), 0);
+  PlacedRun& run = workers_["w1"].runs.begin()->second;
+  now_ += Milliseconds(9'000);
+  run.progress_percent = 90;
+  run.progressed_at = now_;
+  now_ += Milliseconds(1'400);
+  EXPECT_EQ(Plan().preemptions.size(), 1U);
+}
+
 // Guards against the room of stopped runs going to less urgent tasks.
 TEST_F(TaskPlannerTest, Bulk_WhileUrgentWorkWaitsForRoom_GetsNoneOfIt) {
   AddWorker("w1", "r1");
