Read the jobs less often where instances are many

Cause: each instance follows the jobs with a pause of 100 ms. The pause grows by 5 ms for each peer, to 400 ms at most; the owner's pause stays 15 ms.

Ruled out: reading through a peer (its view would be older, and a cut between peers would stop it); longer waits of the store (they save calls only while nothing happens).

--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -37,6 +37,9 @@
     }
   }
 
+  /// @brief Peers that are or once were there.
+  [[nodiscard]] std::size_t size() const { return peers_.size(); }
+
   /// @brief Whether a request was handed on by a peer, and must not be handed on again.
   [[nodiscard]] static bool IsForwarded(const net::HttpRequest& request) {
     return !request.headers.Find(kForwardedHeader).empty();
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <functional>
@@ -52,7 +53,7 @@
                             [this](const auto& items) { OnOperatorItems(items); },
                             {}}),
         jobs_follower_(
-            port, jobs_topic_, FollowerPace(),
+            port, jobs_topic_, {},
             {[this](const auto& items) { OnJobsReload(items); },
              [this](const auto& items) { OnJobBatch(items); }, [this] { OnJobsReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
@@ -98,7 +99,14 @@
     return std::llround(settings_.processor_share * kMillicoresPerCore);
   }
 
-  static TopicFollowerOptions FollowerPace() { return {}; }
+  // All instances share the store's reads, so that each reads less often where they are many.
+  TopicFollowerOptions FollowerPace() const {
+    constexpr workload::Milliseconds kPausePerPeer{5};
+    constexpr std::size_t kMaxPeers = 60;
+    TopicFollowerOptions pace;
+    pace.pause += kPausePerPeer * std::min(peers_.size(), kMaxPeers);
+    return pace;
+  }
   // Jobs reach the owner with little delay.
   static TopicFollowerOptions OwnerPace() {
     TopicFollowerOptions pace;
@@ -207,6 +215,9 @@
     if (const auto* set = std::get_if<workload::InstanceSet>(&*record)) {
       peers_.Add(set->instance);
       election_.OnInstance(set->instance);
+      if (owner_ == nullptr) {
+        jobs_follower_.set_options(FollowerPace());
+      }
       return false;
     }
     if (const auto* set = std::get_if<workload::OwnerSet>(&*record)) {
