Serve metrics of the entry daemon

Cause: the users ask for counters and latency histograms on the metrics address of the settings; loom-entry had none, and docs/metrics.md, which the gateway names, was missing. Twenty metrics cover refusals by reason, records, waits, starts, ends and stops by cause, plans, takeovers, the age of the view and free room. They are declared in one table that a test compares with the page; another test compares it with what a cluster of stand-ins shows.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -46,7 +46,7 @@
 add_module(scheduler loom_platform loom_rpc loom_settings loom_metrics loom_logging loom_process)
 add_module(ctl loom_platform loom_rpc loom_settings)
 
-add_module(entry loom_codec loom_net loom_settings loom_logging loom_process)
+add_module(entry loom_codec loom_net loom_settings loom_metrics loom_logging loom_process)
 
 # The adapter to the users' platform: names, formats and calls.
 file(GLOB adapter_sources CONFIGURE_DEPENDS platform/*.cc)
--- a/include/clementineloom/workload/end_reason.h
+++ b/include/clementineloom/workload/end_reason.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace clementineloom::workload {
 
@@ -19,4 +20,23 @@
   kGangIncomplete,
 };
 
+/// @brief The word for a reason in metrics.
+[[nodiscard]] constexpr std::string_view EndReasonName(EndReason reason) {
+  switch (reason) {
+    case EndReason::kDone:
+      return "done";
+    case EndReason::kFailed:
+      return "failed";
+    case EndReason::kStopped:
+      return "stopped";
+    case EndReason::kLapsed:
+      return "lapsed";
+    case EndReason::kGangBroken:
+      return "gang_broken";
+    case EndReason::kGangIncomplete:
+      return "gang_incomplete";
+  }
+  return "";
+}
+
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/job_state.h
+++ b/include/clementineloom/workload/job_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace clementineloom::workload {
 
@@ -13,4 +14,21 @@
   kCancelled = 4,
 };
 
+/// @brief The word for a state in metrics.
+[[nodiscard]] constexpr std::string_view JobStateName(JobState state) {
+  switch (state) {
+    case JobState::kPending:
+      return "pending";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
 }  // namespace clementineloom::workload
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -8,18 +8,22 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
+#include "clementineloom/errors/result_code_table.h"
 #include "clementineloom/errors/run_state_name.h"
 #include "clementineloom/workload/job_table.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_call.h"
 #include "entry/caller/peer_router.h"
+#include "entry/metric_specs.h"
 #include "entry/operator/operator_view.h"
 #include "entry/port/call_port.h"
 #include "entry/store/appender.h"
 #include "logging/event_budget.h"
 #include "logging/event_log.h"
+#include "metrics/metric_registry.h"
 #include "net/refusal_response.h"
 #include "net/server_request.h"
 
@@ -44,12 +48,14 @@
   };
 
   CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
-              Appender<Platform, Port>& appender, PeerRouter<Port>& peers, Hooks hooks)
+              Appender<Platform, Port>& appender, PeerRouter<Port>& peers,
+              metrics::MetricRegistry& metrics, Hooks hooks)
       : port_(port),
         jobs_(jobs),
         operators_(operators),
         appender_(appender),
         peers_(peers),
+        metrics_(metrics),
         hooks_(std::move(hooks)) {}
 
   void Handle(net::ServerRequest request) {
@@ -138,7 +144,7 @@
     submission->queue = queue;
     submission->team = team;
     submission->accepted_at_ms = port_.UnixNowMs();
-    Record(request, call, workload::SubmissionSet{id, std::move(*submission)}, "job_accepted", id);
+    Record(request, call, workload::SubmissionSet{id, std::move(*submission)}, id);
   }
 
   void Cancel(const net::ServerRequest& request, const CallerCall& call, const std::string& id) {
@@ -147,7 +153,7 @@
       Answer(request.id, Platform::AcceptedResponse());
       return;
     }
-    Record(request, call, workload::CancellationSet{id, true}, "job_cancelled", id);
+    Record(request, call, workload::CancellationSet{id, true}, id);
   }
 
   // Time since the newest answer of the store; very long before the first.
@@ -179,7 +185,7 @@
 
   // Answers once the outcome of the record is known, or when the caller is about to give up.
   void Record(const net::ServerRequest& request, const CallerCall& call,
-              workload::WorkloadRecord record, std::string_view event, const std::string& id) {
+              workload::WorkloadRecord record, const std::string& id) {
     if (!hooks_.has_store()) {
       // Nothing was sent to the store, so that a refusal is true.
       HandOn(request,
@@ -195,16 +201,20 @@
       port_.After(kSilence, [this, request] { AskPeers(request); });
     }
     appender_.Append({codec::EncodeWorkloadRecord(record)},
-                     [this, exchange, record, event, id](AppendStatus status) {
-                       OnRecorded(exchange, record, event, id, status);
+                     [this, exchange, record, id, sent_at = port_.Now()](AppendStatus status) {
+                       metrics_.Observe(kRecordSeconds.name, port_.Now() - sent_at);
+                       OnRecorded(exchange, record, id, status);
                      });
   }
 
   void OnRecorded(net::ExchangeId exchange, const workload::WorkloadRecord& record,
-                  std::string_view event, const std::string& id, AppendStatus status) {
+                  const std::string& id, AppendStatus status) {
     const bool is_recorded = status == AppendStatus::kAppended;
     if (is_recorded) {
-      logging::LogEvent(logging::LogLevel::kInfo, event, {{"job", id}});
+      const bool is_job = std::holds_alternative<workload::SubmissionSet>(record);
+      metrics_.Count((is_job ? kJobsAccepted : kJobsCancelled).name);
+      logging::LogEvent(logging::LogLevel::kInfo, is_job ? "job_accepted" : "job_cancelled",
+                        {{"job", id}});
       jobs_.Apply(record);
     }
     if (waiting_.erase(exchange) > 0) {
@@ -264,6 +274,7 @@
   void LogRefusal(net::ExchangeId exchange, const Refusal& refusal) {
     const auto path = paths_.find(exchange);
     const std::string target = path == paths_.end() ? std::string() : path->second;
+    metrics_.Count(kRefusals.name, kRefusals.label, ResultCodeName(refusal.code));
     if (!refusal_budget_.Allow(port_.Now())) {
       return;
     }
@@ -287,6 +298,7 @@
   const OperatorView& operators_;
   Appender<Platform, Port>& appender_;
   PeerRouter<Port>& peers_;
+  metrics::MetricRegistry& metrics_;
   const Hooks hooks_;
   // Refusals that are logged in a second; more would cost the decisions their time.
   static constexpr std::uint32_t kRefusalLines = 20;
--- a/src/entry/decision_duty.h
+++ b/src/entry/decision_duty.h
@@ -14,6 +14,7 @@
 #include "entry/entry_event.h"
 #include "entry/entry_state.h"
 #include "entry/port/http_call_port.h"
+#include "metrics/metric_registry.h"
 #include "net/http_server.h"
 #include "settings/entry_settings.h"
 
@@ -25,7 +26,8 @@
 class DecisionDuty {
  public:
   DecisionDuty(const settings::EntrySettings& settings, BoundedRing<EntryEvent>& events,
-               net::HttpServer& front, std::atomic<bool>& is_ready)
+               net::HttpServer& front, std::atomic<bool>& is_ready,
+               metrics::MetricRegistry& metrics)
       : events_(events),
         port_(events),
         state_(port_, settings,
@@ -33,7 +35,7 @@
                   front.Answer(id, std::move(response));
                 },
                 [&is_ready](bool ready) { is_ready = ready; }},
-               std::random_device{}()) {}
+               metrics, std::random_device{}()) {}
 
   /// @brief Runs until the ring is closed.
   void Run() {
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -10,8 +10,10 @@
 #include "clementineloom/concurrency/duty_thread.h"
 #include "entry/decision_duty.h"
 #include "entry/entry_event.h"
+#include "metrics/metric_registry.h"
 #include "net/http_server.h"
 #include "net/parse_endpoint.h"
+#include "net/refusal_response.h"
 #include "settings/entry_settings.h"
 
 namespace clementineloom::entry {
@@ -61,17 +63,30 @@
           AnswerReady(request);
           return true;
         }));
+    if (!settings.metrics.empty()) {
+      BOOST_LEAF_CHECK(OpenMetrics(settings.metrics));
+    }
     BOOST_LEAF_ASSIGN(front_, net::HttpServer::Start("callers", front_options,
                                                      [this](net::ServerRequest request) {
                                                        return events_.TryPush(std::move(request));
                                                      }));
     decisions_.emplace("decisions", [this, settings] {
-      DecisionDuty<Platform> duty(settings, events_, *front_, is_ready_);
+      DecisionDuty<Platform> duty(settings, events_, *front_, is_ready_, metrics_);
       duty.Run();
     });
     return {};
   }
 
+  Result<void> OpenMetrics(const std::string& address) {
+    BOOST_LEAF_AUTO(options, OptionsOf(address));
+    BOOST_LEAF_ASSIGN(metrics_server_, net::HttpServer::Start("metrics", options,
+                                                              [this](net::ServerRequest request) {
+                                                                AnswerMetrics(request);
+                                                                return true;
+                                                              }));
+    return {};
+  }
+
   static Result<net::HttpServerOptions> OptionsOf(const std::string& address) {
     BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(address));
     net::HttpServerOptions options;
@@ -85,9 +100,22 @@
     ready_->Answer(request.id, {is_ready_ ? kOk : kNotReady, {}, {}});
   }
 
+  // Runs on the server's thread; the registry takes no lock for longer than a copy needs.
+  void AnswerMetrics(const net::ServerRequest& request) {
+    const bool is_known = request.request.method == "GET" && request.request.target == "/metrics";
+    metrics_server_->Answer(
+        request.id,
+        is_known ? net::HttpResponse{kOk, net::HttpHeaders().With("Content-Type", "text/plain"),
+                                     metrics_.Expose()}
+                 : net::RefusalResponse({ResultCode::kMalformedRequest, RunState::kDidNotRun,
+                                         "only GET /metrics is served here"}));
+  }
+
   std::atomic<bool> is_ready_{false};
+  metrics::MetricRegistry metrics_;
   BoundedRing<EntryEvent> events_{kEventRing};
   std::unique_ptr<net::HttpServer> ready_;
+  std::unique_ptr<net::HttpServer> metrics_server_;
   std::unique_ptr<net::HttpServer> front_;
   std::optional<DutyThread> decisions_;
 };
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -16,6 +16,7 @@
 #include "clementineloom/workload/owner_election.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_front.h"
+#include "entry/metric_specs.h"
 #include "entry/operator/operator_item.h"
 #include "entry/operator/operator_view.h"
 #include "entry/owner/owner.h"
@@ -25,6 +26,7 @@
 #include "entry/store/appender.h"
 #include "entry/store/topic_follower.h"
 #include "logging/event_log.h"
+#include "metrics/metric_registry.h"
 #include "settings/entry_settings.h"
 
 namespace clementineloom::entry {
@@ -41,10 +43,12 @@
   };
 
   /// @param seed differs between processes, also between two lives of one
-  EntryState(Port& port, settings::EntrySettings settings, Hooks hooks, std::uint32_t seed)
+  EntryState(Port& port, settings::EntrySettings settings, Hooks hooks,
+             metrics::MetricRegistry& metrics, std::uint32_t seed)
       : port_(port),
         settings_(std::move(settings)),
         hooks_(std::move(hooks)),
+        metrics_(metrics),
         seed_(seed),
         election_(settings_.instance, RankOf(seed), Millicores()),
         jobs_topic_{settings_.store, Platform::kJobsTopic},
@@ -58,7 +62,7 @@
              [this](const auto& items) { OnJobBatch(items); }, [this] { OnJobsReadFailed(); }}),
         appender_(port, jobs_topic_, CallerAppends()),
         peers_(port, settings_.instance),
-        front_(port, jobs_, operators_, appender_, peers_,
+        front_(port, jobs_, operators_, appender_, peers_, metrics_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
                 [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; }}) {}
 
@@ -260,6 +264,7 @@
 
   void CheckElection() {
     UpdateReady();
+    ShowState();
     if (owner_ == nullptr && !is_claiming_ && !is_stopping_ && jobs_follower_.is_loaded() &&
         election_.MayClaim(port_.Now())) {
       Claim();
@@ -267,6 +272,19 @@
     port_.After(kElectionCheck, [this] { CheckElection(); });
   }
 
+  void ShowState() {
+    metrics_.Set(kIsOwner.name, owner_ == nullptr ? 0 : 1);
+    metrics_.Set(kOwnerEpoch.name,
+                 election_.owner() ? static_cast<double>(election_.owner()->epoch) : 0);
+    if (const auto read_at = jobs_follower_.last_read_at()) {
+      metrics_.Set(kViewAgeSeconds.name,
+                   std::chrono::duration<double>(port_.Now() - *read_at).count());
+    }
+    if (operators_.config()) {
+      metrics_.Set(kConfigVersion.name, static_cast<double>(operators_.config()->version));
+    }
+  }
+
   void Claim() {
     is_claiming_ = true;
     epoch_ = election_.NextEpoch(nonce_++);
@@ -310,6 +328,7 @@
     appends.first_sequence = 1;
     appends.retries_refused = true;
     OwnerOptions options;
+    metrics_.Count(kTakeovers.name);
     options.instance = settings_.instance;
     options.epoch = epoch_;
     options.lease = std::min(kLease, workload::Milliseconds{settings_.max_lease_ms} - kLeaseMargin);
@@ -317,7 +336,7 @@
     options.retention = std::chrono::seconds{settings_.state_retention_s};
     options.advice_address = settings_.advice;
     owner_ = std::make_unique<Owner<Platform, Port>>(
-        port_, jobs_, operators_,
+        port_, jobs_, operators_, metrics_,
         std::make_unique<Appender<Platform, Port>>(port_, jobs_topic_, appends), options,
         [this] { OnOwnershipLost(); });
     jobs_follower_.set_options(OwnerPace());
@@ -351,6 +370,7 @@
   Port& port_;
   const settings::EntrySettings settings_;
   const Hooks hooks_;
+  metrics::MetricRegistry& metrics_;
   const std::uint32_t seed_;
   workload::OwnerElection election_;
   const StoreEndpoint jobs_topic_;
--- a/src/entry/owner/drain_moves.h
+++ b/src/entry/owner/drain_moves.h
@@ -70,6 +70,7 @@
                        {"run", run.run},
                        {"worker", worker},
                        {"worker_leaves_in_ms", time_left.count()}});
+    core_.metrics.Count(kRunsStopped.name, kRunsStopped.label, "moved");
     orders_.OrderStop(worker, run);
     orders_.BreakGang(run);
   }
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -37,9 +37,10 @@
 class Owner {
  public:
   Owner(Port& port, workload::JobTable& jobs, const OperatorView& operators,
-        std::unique_ptr<Appender<Platform, Port>> appender, OwnerOptions options,
-        std::function<void()> on_lost)
-      : core_(port, jobs, operators, std::move(appender), std::move(options), std::move(on_lost)),
+        metrics::MetricRegistry& metrics, std::unique_ptr<Appender<Platform, Port>> appender,
+        OwnerOptions options, std::function<void()> on_lost)
+      : core_(port, jobs, operators, metrics, std::move(appender), std::move(options),
+              std::move(on_lost)),
         orders_(core_),
         ends_(core_, orders_),
         pacing_(core_),
@@ -171,6 +172,7 @@
     ExpireLeases(now);
     drain_moves_.Check(kTick);
     DropOldJobs(now);
+    ShowPool(now);
     placement_.PlanSoon();
     core_.port.After(kTick, core_.Guard([this] { Tick(); }));
   }
@@ -200,6 +202,22 @@
     return true;
   }
 
+  void ShowPool(workload::SteadyTime now) {
+    std::size_t workers = 0;
+    std::size_t runs = 0;
+    std::int64_t accelerators = 0;
+    for (const auto& [id, worker] : core_.workers) {
+      runs += worker.runs.size();
+      if (worker.TakesRuns(now)) {
+        ++workers;
+        accelerators += worker.Free().accelerators;
+      }
+    }
+    core_.metrics.Set(kWorkers.name, static_cast<double>(workers));
+    core_.metrics.Set(kRuns.name, static_cast<double>(runs));
+    core_.metrics.Set(kFreeAccelerators.name, static_cast<double>(accelerators));
+  }
+
   void CallIdle(workload::SteadyTime now) {
     std::vector<std::string> idle;
     for (const auto& [id, worker] : core_.workers) {
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -14,6 +14,7 @@
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/worker_pool.h"
 #include "codec/workload_record_codec.h"
+#include "entry/metric_specs.h"
 #include "entry/operator/operator_view.h"
 #include "entry/owner/owner_options.h"
 #include "entry/owner/worker_link.h"
@@ -22,6 +23,7 @@
 #include "entry/store/appender.h"
 #include "entry/worker/order_answer.h"
 #include "logging/event_log.h"
+#include "metrics/metric_registry.h"
 
 namespace clementineloom::entry {
 
@@ -35,11 +37,12 @@
 
   /// @param lost runs once when ownership is lost
   OwnerCore(Port& it, workload::JobTable& table, const OperatorView& view,
-            std::unique_ptr<Appender<Platform, Port>> records, OwnerOptions bounds,
-            std::function<void()> lost)
+            metrics::MetricRegistry& registry, std::unique_ptr<Appender<Platform, Port>> records,
+            OwnerOptions bounds, std::function<void()> lost)
       : port(it),
         jobs(table),
         operators(view),
+        metrics(registry),
         options(std::move(bounds)),
         confirmed_at(it.Now()),
         appender_(std::move(records)),
@@ -76,9 +79,10 @@
       jobs.Apply(it);
       items.push_back(codec::EncodeWorkloadRecord(it));
     }
-    appender_->Append(std::move(items),
-                      Guard([this, stored = std::move(stored)](AppendStatus status) {
+    appender_->Append(std::move(items), Guard([this, stored = std::move(stored),
+                                               decided_at = port.Now()](AppendStatus status) {
                         if (status == AppendStatus::kAppended) {
+                          metrics.Observe(kAppendSeconds.name, port.Now() - decided_at);
                           confirmed_at = port.Now();
                           stored();
                         } else {
@@ -120,6 +124,7 @@
   Port& port;
   workload::JobTable& jobs;
   const OperatorView& operators;
+  metrics::MetricRegistry& metrics;
   const OwnerOptions options;
   workload::WorkerPool workers;
   std::map<std::string, WorkerLink> links;
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -35,6 +35,7 @@
                          {"reason", static_cast<int>(reason)},
                          {"checkpoint", checkpoint}});
     }
+    core_.metrics.Count(kRunsEnded.name, kRunsEnded.label, workload::EndReasonName(reason));
     core_.workers[worker].Remove(run);
     NoteWorkerHealth(worker, run, reason);
     const workload::RunOutcome outcome =
@@ -79,6 +80,13 @@
 
  private:
   void OnJobEnded(const std::string& job, workload::JobState state) {
+    core_.metrics.Count(kJobsEnded.name, kJobsEnded.label, workload::JobStateName(state));
+    const workload::JobEntry* entry = core_.jobs.Find(job);
+    if (entry != nullptr && entry->submission) {
+      core_.metrics.Observe(
+          kJobSeconds.name,
+          workload::Milliseconds(core_.port.UnixNowMs() - entry->submission->accepted_at_ms));
+    }
     logging::LogEvent(
         logging::LogLevel::kInfo, "job_ended",
         {{"job", job}, {"state", static_cast<int>(state)}, {"epoch", core_.options.epoch}});
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -32,6 +32,7 @@
         Plan();
         planned_at_ = core_.port.Now();
         plan_cost_ = planned_at_ - begun_at;
+        core_.metrics.Observe(kPlanSeconds.name, plan_cost_);
       }));
     }
   }
@@ -87,12 +88,14 @@
                        {"run", preemption.run.run},
                        {"worker", preemption.worker},
                        {"for", codec::TaskName(preemption.beneficiary)}});
+    core_.metrics.Count(kRunsStopped.name, kRunsStopped.label, "preempted");
     orders_.OrderStop(preemption.worker, preemption.run);
     orders_.BreakGang(preemption.run);
   }
 
   void RecordStarts(std::vector<workload::PlannedStart> starts) {
     Records records;
+    core_.metrics.Count(kRunsStarted.name, {}, {}, starts.size());
     for (const workload::PlannedStart& it : starts) {
       LogFirstStart(it);
       const workload::TaskId& task = it.run.run.task;
@@ -119,12 +122,14 @@
                          {"worker", start.worker},
                          {"epoch", core_.options.epoch}});
     } else if (task.step.step == 0 && task.index == 0) {
-      const std::int64_t due_at_ms = job.submission->DueAtMs(task.step.occurrence);
+      const workload::Milliseconds waited(core_.port.UnixNowMs() -
+                                          job.submission->DueAtMs(task.step.occurrence));
+      core_.metrics.Observe(kStartWaitSeconds.name, waited);
       logging::LogEvent(logging::LogLevel::kInfo, "job_started",
                         {{"job", task.step.job},
                          {"occurrence", task.step.occurrence},
                          {"worker", start.worker},
-                         {"waited_ms", core_.port.UnixNowMs() - due_at_ms},
+                         {"waited_ms", waited.count()},
                          {"epoch", core_.options.epoch}});
     }
   }
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -235,6 +235,7 @@
                          {"run", run.run.run},
                          {"worker", id},
                          {"percent", percent}});
+      core_.metrics.Count(kRunsStopped.name, kRunsStopped.label, "stalled");
       core_.Rest(id, OwnerTiming::kLongRest);
       orders_.OrderStop(id, run.run);
       orders_.BreakGang(run.run);
--- a/src/settings/daemon_fields.cc
+++ b/src/settings/daemon_fields.cc
@@ -125,6 +125,8 @@
       {Required("listen", ValueKind::kListenAddress, "address for callers"), &S::listen},
       {Required("ready", ValueKind::kListenAddress, "address of the readiness check"), &S::ready},
       {Required("store", ValueKind::kAddress, "the platform's store"), &S::store},
+      {Optional("metrics", ValueKind::kListenAddress, "address of `/metrics`; empty for none"),
+       &S::metrics},
       {Optional("advice", ValueKind::kText, "the advice service; empty where there is none"),
        &S::advice},
       {Optional("log_level", ValueKind::kLogLevel, "lowest severity that is logged"),
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -15,6 +15,8 @@
   std::string listen;
   /// IP:PORT of the readiness check.
   std::string ready;
+  /// IP:PORT of the metrics page; empty for none.
+  std::string metrics;
   /// IP:PORT of the store.
   std::string store;
   /// IP:PORT of the advice service; empty where there is none.
--- /dev/null
+++ b/tests/docs/metrics_doc_test.cc
@@ -0,0 +1,62 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "entry/metric_specs.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+class MetricsDocTest : public testing::Test {
+ protected:
+  static std::string ReadPage() {
+    std::ifstream file(std::string(SOURCE_DIR) + "/docs/metrics.md");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+};
+
+// Guards against a metric that operators meet and cannot look up.
+TEST_F(MetricsDocTest, Page_ForEveryMetricOfTheEntryDaemon_HasItsRow) {
+  const std::string page = ReadPage();
+  for (const MetricSpec& it : kMetricSpecs) {
+    const std::string row = "| `" + std::string(it.name) + "` | " + std::string(it.type) + " | " +
+                            std::string(it.label) + " | " + std::string(it.meaning) + " |";
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+}
+
+// Guards against a metric that the daemon shows and the table of metrics lacks.
+TEST_F(MetricsDocTest, Metrics_OfARunningInstance_AreAllInTheTable) {
+  standin::StandInCluster cluster(2, 2, workload::Milliseconds(1'000));
+  cluster.Submit(0, "00000000000000a1", R"([{"count":1,"cpu":1000,"gpus":2}])");
+  cluster.store.Refuse(true);
+  cluster.Submit(0, "00000000000000a2", R"([{"count":1,"cpu":1000,"gpus":2}])");
+  cluster.store.Refuse(false);
+  cluster.RunFor(workload::Milliseconds(4'000));
+  std::set<std::string> known;
+  for (const MetricSpec& it : kMetricSpecs) {
+    known.insert(std::string(it.name));
+  }
+  std::size_t shown = 0;
+  for (std::size_t instance = 0; instance < 2; ++instance) {
+    std::istringstream page(cluster.Metrics(instance));
+    std::string word;
+    while (page >> word) {
+      if (word == "TYPE") {
+        page >> word;
+        ++shown;
+        EXPECT_TRUE(known.contains(word)) << word;
+      }
+    }
+  }
+  EXPECT_GE(shown, kMetricSpecs.size());
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -138,13 +138,14 @@
   settings.listen = ListenAddress(index);
   settings.max_lease_ms = 6'000;
   instance.port = std::make_unique<SimPort>(world);
+  instance.metrics = std::make_unique<metrics::MetricRegistry>();
   instance.state =
       std::make_unique<State>(*instance.port, settings,
                               State::Hooks{[this](net::ExchangeId id, net::HttpResponse response) {
                                              Deliver(id.value(), std::move(response));
                                            },
                                            [](bool) {}},
-                              same_seeds_ ? 37 : ++last_seed_ * 37);
+                              *instance.metrics, same_seeds_ ? 37 : ++last_seed_ * 37);
   instance.state->Start();
   world.Serve(settings.listen,
               [this, index](const net::HttpRequest& request, SimWorld::Reply reply) {
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "entry/entry_state.h"
+#include "metrics/metric_registry.h"
 #include "platform/users_platform.h"
 #include "standin/sim_port.h"
 #include "standin/standin_store.h"
@@ -53,6 +54,10 @@
   /// @brief The first of them, or nothing.
   [[nodiscard]] std::optional<std::size_t> OwnerIndex() const;
 
+  /// @brief The metrics page of an instance.
+  [[nodiscard]] std::string Metrics(std::size_t instance) const {
+    return instances_[instance].metrics->Expose();
+  }
   [[nodiscard]] SimPort& port(std::size_t instance) { return *instances_[instance].port; }
   void Stop(std::size_t instance) { instances_[instance].state->OnStop(); }
 
@@ -72,6 +77,7 @@
   using State = entry::EntryState<adapter::UsersPlatform, SimPort>;
   struct Instance {
     std::unique_ptr<SimPort> port;
+    std::unique_ptr<metrics::MetricRegistry> metrics;
     std::unique_ptr<State> state;
   };
 
