Write log lines on a thread of their own

Cause: the deciding thread wrote each line itself, so that a reader of standard output that stands still stopped all decisions and leases. Lines now go through log4cxx's asynchronous appender: 4,096 may wait, more are left out and counted in a line ("Discarded ..."), and what is pending is written at the exit of the process.

Ruled out: a ring and a writing thread of our own (the library's does the same); a blocking ring (it would only put the stop off).

--- a/src/logging/event_log.cc
+++ b/src/logging/event_log.cc
@@ -1,5 +1,6 @@
 #include "logging/event_log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -8,7 +9,9 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <cstdlib>
 #include <exception>
+#include <memory>
 #include <optional>
 
 #include "logging/format_event.h"
@@ -67,6 +70,25 @@
   return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
+// Lines that wait for the writing thread; more are left out and counted by severity in one line.
+constexpr int kPendingLines = 4'096;
+
+// Writes on a thread of its own, so that a slow reader of the log never stops a decision.
+std::shared_ptr<log4cxx::AsyncAppender> WithoutWaiting(const log4cxx::AppenderPtr& appender) {
+  auto it = std::make_shared<log4cxx::AsyncAppender>();
+  it->setBufferSize(kPendingLines);
+  it->setBlocking(false);
+  it->addAppender(appender);
+  return it;
+}
+
+// Writes the lines that are pending.
+void CloseLog() {
+  for (const log4cxx::AppenderPtr& it : RootLogger()->getAllAppenders()) {
+    it->close();
+  }
+}
+
 }  // namespace
 
 Result<void> ConfigureLog(const std::string& level, const std::string& file) {
@@ -76,8 +98,9 @@
   }
   try {
     RootLogger()->removeAllAppenders();
-    RootLogger()->addAppender(MakeAppender(file));
+    RootLogger()->addAppender(WithoutWaiting(MakeAppender(file)));
     RootLogger()->setLevel(ToLog4cxx(*parsed));
+    std::atexit(&CloseLog);
   } catch (const std::exception& error) {
     return Refuse(ResultCode::kFileUnreadable, file + ": " + error.what());
   }
--- /dev/null
+++ b/tests/logging/slow_reader_test.cc
@@ -0,0 +1,66 @@
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <filesystem>
+#include <string>
+#include <thread>
+
+#include "logging/event_log.h"
+
+namespace clementineloom::logging {
+namespace {
+
+// A log file whose reader has stopped reading.
+class SlowReaderTest : public testing::Test {
+ protected:
+  SlowReaderTest() {
+    EXPECT_EQ(mkfifo(path_.c_str(), S_IRUSR | S_IWUSR), 0);
+    reader_ = open(path_.c_str(), O_RDONLY | O_NONBLOCK);
+    EXPECT_GE(reader_, 0);
+  }
+  ~SlowReaderTest() override {
+    close(reader_);
+    std::filesystem::remove(path_);
+  }
+  SlowReaderTest(const SlowReaderTest&) = delete;
+  SlowReaderTest& operator=(const SlowReaderTest&) = delete;
+
+  // Reads until a text comes. Returns whether it came within some seconds.
+  bool ReadUntil(const std::string& text) {
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    std::array<char, 65'536> buf{};
+    std::string all;
+    while (all.find(text) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
+      const ssize_t count = read(reader_, buf.data(), buf.size());
+      if (count > 0) {
+        all.append(buf.data(), static_cast<std::size_t>(count));
+      } else {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    }
+    return all.find(text) != std::string::npos;
+  }
+
+  const std::string path_ =
+      std::filesystem::temp_directory_path() / ("loom-slow-reader-" + std::to_string(getpid()));
+  int reader_ = -1;
+};
+
+// Guards against decisions that stop because nobody reads the log.
+TEST_F(SlowReaderTest, LogEvent_WhenNobodyReads_GoesOnAndCountsWhatIsLeftOut) {
+  ASSERT_TRUE(ConfigureLog("info", path_));
+  constexpr int kMoreThanFits = 20'000;
+  for (int n = 0; n < kMoreThanFits; ++n) {
+    LogEvent(LogLevel::kInfo, "filler", {{"number", n}});
+  }
+  EXPECT_TRUE(ReadUntil("Discarded"));
+  LogEvent(LogLevel::kInfo, "after_the_flood", {});
+  EXPECT_TRUE(ReadUntil("after_the_flood"));
+}
+
+}  // namespace
+}  // namespace clementineloom::logging
