Take the time that gangs wait from the settings

The bound for runs that stand still had a constant of its own, and the setting gang_timeout_ms had no reader: on a platform with another time-out a gang could be taken for one that hangs (grown fleets wait for 4 s, the constant said 3 s).

--- a/include/clementineloom/workload/run_stall.h
+++ b/include/clementineloom/workload/run_stall.h
@@ -9,6 +9,8 @@
 ///
 /// Tasks that run until they are cancelled show no progress. Thread safety: a pure function.
 /// Precondition: run.progressed_at is set.
-[[nodiscard]] bool HasStalled(const StepSpec& spec, const PlacedRun& run, SteadyTime now);
+/// @param gang_timeout time that the members of a gang wait for each other
+[[nodiscard]] bool HasStalled(const StepSpec& spec, const PlacedRun& run, SteadyTime now,
+                              Milliseconds gang_timeout);
 
 }  // namespace clementineloom::workload
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -333,6 +333,7 @@
     options.epoch = epoch_;
     options.lease = std::min(kLease, workload::Milliseconds{settings_.max_lease_ms} - kLeaseMargin);
     options.stop_timeout = workload::Milliseconds{settings_.stop_timeout_ms};
+    options.gang_timeout = workload::Milliseconds{settings_.gang_timeout_ms};
     options.retention = std::chrono::seconds{settings_.state_retention_s};
     options.advice_address = settings_.advice;
     owner_ = std::make_unique<Owner<Platform, Port>>(
--- a/src/entry/owner/owner_options.h
+++ b/src/entry/owner/owner_options.h
@@ -16,6 +16,8 @@
   workload::Milliseconds lease{5'500};
   /// Longest time that a worker takes to stop a run.
   workload::Milliseconds stop_timeout{1'000};
+  /// Time that the members of a gang wait for each other.
+  workload::Milliseconds gang_timeout{3'000};
   /// Time for which an ended job is kept.
   workload::Milliseconds retention{120'000};
   /// Address of the advice service; empty where there is none.
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -229,7 +229,7 @@
       return;
     }
     const workload::StepSpec& spec = job->submission->steps[run.run.task.step.step];
-    if (workload::HasStalled(spec, run, now)) {
+    if (workload::HasStalled(spec, run, now, core_.options.gang_timeout)) {
       logging::LogEvent(logging::LogLevel::kWarning, "run_stalled",
                         {{"task", codec::TaskName(run.run.task)},
                          {"run", run.run.run},
--- a/src/workload/run_stall.cc
+++ b/src/workload/run_stall.cc
@@ -12,12 +12,11 @@
 constexpr Milliseconds kShortest{1'500};
 // Others may leave a task that fills no processors for some seconds.
 constexpr Milliseconds kShortestFill{8'000};
-// The members of a gang wait for each other before they begin.
-constexpr Milliseconds kGangWait{3'000};
 
 }  // namespace
 
-bool HasStalled(const StepSpec& spec, const PlacedRun& run, SteadyTime now) {
+bool HasStalled(const StepSpec& spec, const PlacedRun& run, SteadyTime now,
+                Milliseconds gang_timeout) {
   constexpr std::uint32_t kWhole = 100;
   if (spec.runs_until_cancelled || run.progress_percent >= kWhole || run.pace_percent != kWhole) {
     return false;
@@ -25,7 +24,7 @@
   const bool may_wait_for_others = spec.is_gang && run.progress_percent == 0;
   const Milliseconds patience = std::max(spec.fills_idle_cpu ? kShortestFill : kShortest,
                                          Milliseconds(spec.estimate_ms / kShareOfEstimate)) +
-                                (may_wait_for_others ? kGangWait : Milliseconds(0));
+                                (may_wait_for_others ? gang_timeout : Milliseconds(0));
   return now - run.progressed_at >= patience;
 }
 
--- a/tests/workload/run_stall_test.cc
+++ b/tests/workload/run_stall_test.cc
@@ -13,6 +13,7 @@
     spec_.estimate_ms = 2'000;
   }
 
+  static constexpr Milliseconds kGangTimeout{3'000};
   const SteadyTime start_ = SteadyTime() + Milliseconds(5'000);
   StepSpec spec_;
   PlacedRun run_;
@@ -20,23 +21,23 @@
 
 // Guards against tasks that wait on a hanging worker until the hang ends.
 TEST_F(RunStallTest, Run_WithoutProgress_HasStalledAfterAWhile) {
-  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(1'400)));
-  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(1'500)));
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(1'400), kGangTimeout));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(1'500), kGangTimeout));
 }
 
 // Guards against long tasks that are stopped because a percent of them takes long.
 TEST_F(RunStallTest, Run_OfALongTask_GetsMoreTime) {
   spec_.estimate_ms = 60'000;
-  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'900)));
-  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(5'000)));
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'900), kGangTimeout));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(5'000), kGangTimeout));
 }
 
 // Guards against gangs that are stopped while their members wait for each other.
 TEST_F(RunStallTest, Run_OfAGangThatHasNotBegun_GetsTheTimeOfTheOthers) {
   spec_.is_gang = true;
   run_.progress_percent = 0;
-  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'400)));
-  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(4'500)));
+  EXPECT_FALSE(HasStalled(spec_, run_, start_ + Milliseconds(4'400), kGangTimeout));
+  EXPECT_TRUE(HasStalled(spec_, run_, start_ + Milliseconds(4'500), kGangTimeout));
 }
 
 // Guards against tasks without progress of their own being stopped.
@@ -44,13 +45,13 @@
   const SteadyTime late = start_ + Milliseconds(60'000);
   StepSpec service = spec_;
   service.runs_until_cancelled = true;
-  EXPECT_FALSE(HasStalled(service, run_, late));
+  EXPECT_FALSE(HasStalled(service, run_, late, kGangTimeout));
   PlacedRun done = run_;
   done.progress_percent = 100;
-  EXPECT_FALSE(HasStalled(spec_, done, late));
+  EXPECT_FALSE(HasStalled(spec_, done, late, kGangTimeout));
   PlacedRun paced = run_;
   paced.pace_percent = 50;
-  EXPECT_FALSE(HasStalled(spec_, paced, late));
+  EXPECT_FALSE(HasStalled(spec_, paced, late, kGangTimeout));
 }
 
 }  // namespace
