Forget the advice on jobs that have ended

AdviceBook::Drop had no caller, so that an owner kept the answers on every step that it ever asked about. They are now dropped with the end or the cancellation of the job.

--- a/include/clementineloom/workload/advice_book.h
+++ b/include/clementineloom/workload/advice_book.h
@@ -25,8 +25,8 @@
   /// @brief Lets workers be asked about again, after a call that got no answer.
   void ForgetAsked(const StepId& step, const std::vector<std::string>& workers);
 
-  /// @brief Forgets a step.
-  void Drop(const StepId& step);
+  /// @brief Forgets all steps of a job.
+  void DropJob(const std::string& job);
 
   /// @brief Whether a worker was asked about and its answer has not expired.
   [[nodiscard]] bool WasAsked(const StepId& step, const std::string& worker) const;
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -253,6 +253,7 @@
   void StopCancelled() {
     for (const auto& [id, job] : core_.jobs.jobs()) {
       if (job.is_cancelled && stopped_jobs_.insert(id).second) {
+        core_.advice.DropJob(id);
         orders_.StopRunsOf(id);
       }
     }
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -90,6 +90,7 @@
     logging::LogEvent(
         logging::LogLevel::kInfo, "job_ended",
         {{"job", job}, {"state", static_cast<int>(state)}, {"epoch", core_.options.epoch}});
+    core_.advice.DropJob(job);
     orders_.StopRunsOf(job);
   }
 
--- a/src/workload/advice_book.cc
+++ b/src/workload/advice_book.cc
@@ -22,7 +22,9 @@
   }
 }
 
-void AdviceBook::Drop(const StepId& step) { steps_.erase(step); }
+void AdviceBook::DropJob(const std::string& job) {
+  std::erase_if(steps_, [&job](const auto& it) { return it.first.job == job; });
+}
 
 bool AdviceBook::WasAsked(const StepId& step, const std::string& worker) const {
   const auto entry = steps_.find(step);
