Stop service tasks for urgent work within what their step may miss

Cause: service tasks were never stopped, so that guaranteed room which a service of a less urgent queue holds could not be reclaimed (rule RECLAIM), although its step allows some tasks to be down (rule AVAIL). They are now the last choice of a claim, as many as their step may miss less those that are not at work for any cause; only tasks that report to be at work are counted as up.

Ruled out: a bound on the room that services may take (a service must start while under half of the capacity is in use); counting only the stops of the scheduler's own as down (a task that failed is down for its users too).

The new test of the planner fails before (no preemption), and shows that nothing is stopped once one task is down.

--- a/include/clementineloom/workload/detail/victim_search.h
+++ b/include/clementineloom/workload/detail/victim_search.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "clementineloom/workload/detail/service_budget.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/victim.h"
 #include "clementineloom/workload/detail/victim_set.h"
@@ -15,10 +16,11 @@
 
 /// @brief The runs on a worker that may be stopped for a task of a priority, the cheapest first.
 ///
-/// Tasks that run until they are cancelled are not stopped. A member of a gang counts with the
-/// work of the whole gang. Complexity: O(runs * log(runs)).
+/// A member of a gang counts with the work of the whole gang. Service tasks are listed as far as
+/// their budget goes, behind all others. Complexity: O(runs * log(runs)).
 [[nodiscard]] std::vector<Victim> VictimsOn(const PoolWorker& worker, std::uint32_t priority,
-                                            const JobTable& jobs, SteadyTime now);
+                                            const JobTable& jobs, SteadyTime now,
+                                            ServiceBudget& services);
 
 /// @brief The cheapest victims whose end makes room for one more task of a step on a worker; an
 /// empty set if there is room once the runs that are being stopped have ended.
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -59,8 +59,9 @@
   if (std::exchange(has_victims_, true)) {
     return;
   }
+  ServiceBudget services(request_);
   for (WorkerRoom& room : rooms_) {
-    room.victims = VictimsOn(*room.worker, priority, request_.jobs, request_.now);
+    room.victims = VictimsOn(*room.worker, priority, request_.jobs, request_.now, services);
     for (const Victim& it : room.victims) {
       room.stoppable = room.stoppable + it.run->reserved;
       if (it.is_of_gang) {
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -1,6 +1,7 @@
 #include "clementineloom/workload/detail/victim_search.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "clementineloom/workload/detail/ends_soon.h"
 
@@ -10,6 +11,8 @@
 // Weight of an accelerator against a core in the price of lost work.
 constexpr std::int64_t kCoresPerAccelerator = 8;
 constexpr std::int64_t kMillicoresPerCore = 1'000;
+// A service task loses no work, but its users feel the stop: batch work goes first.
+constexpr std::int64_t kServiceCost = std::numeric_limits<std::int32_t>::max();
 // A run that saves its progress loses about this much of it.
 constexpr Milliseconds kUnsavedWork{500};
 
@@ -21,6 +24,9 @@
 }
 
 std::int64_t CostOf(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
+  if (spec.runs_until_cancelled) {
+    return kServiceCost;
+  }
   auto lost = std::chrono::duration_cast<Milliseconds>(now - run.placed_at);
   if (spec.saves_checkpoints) {
     lost = std::min(lost, kUnsavedWork);
@@ -47,14 +53,14 @@
 }  // namespace
 
 std::vector<Victim> VictimsOn(const PoolWorker& worker, std::uint32_t priority,
-                              const JobTable& jobs, SteadyTime now) {
+                              const JobTable& jobs, SteadyTime now, ServiceBudget& services) {
   std::vector<Victim> victims;
   for (const auto& [id, run] : worker.runs) {
     if (run.stage == RunStage::kStopping || run.priority <= priority || EndsSoon(run, now)) {
       continue;
     }
     const StepSpec* spec = SpecOf(jobs, id);
-    if (spec != nullptr && !spec->runs_until_cancelled) {
+    if (spec != nullptr && (!spec->runs_until_cancelled || services.Take(run))) {
       victims.push_back({&run, CostOf(run, *spec, now), spec->is_gang});
     }
   }
--- a/tests/workload/task_planner_test.cc
+++ b/tests/workload/task_planner_test.cc
@@ -264,6 +264,24 @@
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
+// Guards against guaranteed room that stays taken although a service may miss some of its tasks,
+// and against stopping more of them than it may miss.
+TEST_F(TaskPlannerTest, Urgent_WhenAServiceMayMissTasks_StopsThatManyAtMost) {
+  AddWorker("w1", "r1");
+  StepSpec service = Step(8, 1);
+  service.runs_until_cancelled = true;
+  service.max_unavailable = 2;
+  Submit("service", service, 2);
+  Carry(Plan());
+  for (auto& [run, placed] : workers_["w1"].runs) {
+    placed.progress_percent = 100;
+  }
+  Submit("urgent", Step(1, 2), 0);
+  EXPECT_EQ(Plan().preemptions.size(), 2U);
+  workers_["w1"].runs.begin()->second.progress_percent = 0;
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
 // Guards against starts that the workers refuse for want of a ticket.
 TEST_F(TaskPlannerTest, Queue_ThatNeedsAdvice_AsksFirstAndUsesApprovedWorkersOnly) {
   AddWorker("w1", "r1");
