Let the owner record the submissions of all instances

Cause: each instance appended its callers' records by itself. An instance now hands a submission or cancellation to the owner, whose appends carry those of all, and appends by itself if the owner fails.

A refusal now waits for the peers that were asked.

Ruled out: handing on only while the store is known to be slow (each instance learns it by a slow append of its own, 44 of which fill ten seconds); a topic of its own for submissions (each instance would read two).

--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -17,6 +17,7 @@
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_call.h"
 #include "entry/caller/peer_router.h"
+#include "entry/caller/waiting_record.h"
 #include "entry/metric_specs.h"
 #include "entry/operator/operator_view.h"
 #include "entry/port/call_port.h"
@@ -45,6 +46,8 @@
     std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
     /// Whether the store can be reached, as far as is known.
     std::function<bool()> has_store;
+    /// The instance that owns the workers, if it is another one; empty if none is known.
+    std::function<std::string()> owner;
   };
 
   CallerFront(Port& port, workload::JobTable& jobs, const OperatorView& operators,
@@ -183,7 +186,8 @@
                    });
   }
 
-  // Answers once the outcome of the record is known, or when the caller is about to give up.
+  // Answers once the outcome of the record is known, or when the caller is about to give up. The
+  // owner appends the records of all instances together: a slow store takes a few appends a second.
   void Record(const net::ServerRequest& request, const CallerCall& call,
               workload::WorkloadRecord record, const std::string& id) {
     if (!hooks_.has_store()) {
@@ -193,65 +197,143 @@
       return;
     }
     const net::ExchangeId exchange = request.id;
-    waiting_.emplace(exchange, id);
+    waiting_.emplace(exchange, WaitingRecord{id});
     port_.After(std::max(workload::Milliseconds(call.patience_ms) - kAnswerMargin,
                          workload::Milliseconds(0)),
                 [this, exchange] { GiveUp(exchange); });
+    const std::string owner = hooks_.owner();
+    if (!PeerRouter<Port>::IsForwarded(request.request) && peers_.MayAsk(owner)) {
+      RecordByOwner(request, record, owner);
+    } else {
+      RecordHere(request, record);
+    }
+  }
+
+  void RecordByOwner(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                     const std::string& owner) {
+    waiting_.at(request.id).is_at_peers = true;
+    peers_.ForwardTo(owner, request.request,
+                     [this, request, record, owner](std::optional<net::HttpResponse> response,
+                                                    bool may_have_run) {
+                       OnOwnerAnswer(request, record, owner, std::move(response), may_have_run);
+                     });
+  }
+
+  void OnOwnerAnswer(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                     const std::string& owner, std::optional<net::HttpResponse> response,
+                     bool may_have_run) {
+    const auto it = waiting_.find(request.id);
+    if (it == waiting_.end()) {
+      return;
+    }
+    it->second.is_at_peers = false;
+    if (!IsSuccess(response)) {
+      it->second.may_be_recorded = may_have_run;
+      RecordHere(request, record);
+      return;
+    }
+    logging::LogEvent(logging::LogLevel::kInfo, "job_recorded_by_owner",
+                      {{"job", it->second.job}, {"owner", owner}});
+    jobs_.Apply(record);
+    waiting_.erase(it);
+    Answer(request.id, std::move(*response));
+  }
+
+  // Precondition: the request waits.
+  void RecordHere(const net::ServerRequest& request, const workload::WorkloadRecord& record) {
     if (!PeerRouter<Port>::IsForwarded(request.request)) {
       port_.After(kSilence, [this, request] { AskPeers(request); });
     }
-    appender_.Append({codec::EncodeWorkloadRecord(record)},
-                     [this, exchange, record, id, sent_at = port_.Now()](AppendStatus status) {
-                       metrics_.Observe(kRecordSeconds.name, port_.Now() - sent_at);
-                       OnRecorded(exchange, record, id, status);
-                     });
+    const std::string job = waiting_.at(request.id).job;
+    appender_.Append(
+        {codec::EncodeWorkloadRecord(record)},
+        [this, exchange = request.id, record, job, sent_at = port_.Now()](AppendStatus status) {
+          metrics_.Observe(kRecordSeconds.name, port_.Now() - sent_at);
+          OnRecorded(exchange, record, job, status);
+        });
   }
 
   void OnRecorded(net::ExchangeId exchange, const workload::WorkloadRecord& record,
-                  const std::string& id, AppendStatus status) {
-    const bool is_recorded = status == AppendStatus::kAppended;
-    if (is_recorded) {
+                  const std::string& job, AppendStatus status) {
+    if (status == AppendStatus::kAppended) {
       const bool is_job = std::holds_alternative<workload::SubmissionSet>(record);
       metrics_.Count((is_job ? kJobsAccepted : kJobsCancelled).name);
       logging::LogEvent(logging::LogLevel::kInfo, is_job ? "job_accepted" : "job_cancelled",
-                        {{"job", id}});
+                        {{"job", job}});
       jobs_.Apply(record);
-    }
-    if (waiting_.erase(exchange) > 0) {
-      if (is_recorded) {
+      if (waiting_.erase(exchange) > 0) {
         Answer(exchange, Platform::AcceptedResponse());
-      } else if (status == AppendStatus::kRefused) {
-        RefuseForNow(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun,
-                                "the store did not take the record"});
-      } else {
-        Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
       }
-    }
-    if (is_recorded) {
       hooks_.on_jobs_changed();
+      return;
+    }
+    const auto it = waiting_.find(exchange);
+    if (it == waiting_.end()) {
+      return;
+    }
+    it->second.is_refused_here = status == AppendStatus::kRefused;
+    it->second.may_be_recorded = it->second.may_be_recorded || status != AppendStatus::kRefused;
+    if (!it->second.is_at_peers) {
+      RefuseWaiting(exchange);
     }
   }
 
-  // The link to the store may be silent while a peer's is not.
+  // Refuses a request that neither this instance nor a peer has recorded for sure.
+  void RefuseWaiting(net::ExchangeId exchange) {
+    const bool may_be_recorded = waiting_.at(exchange).may_be_recorded;
+    waiting_.erase(exchange);
+    if (may_be_recorded) {
+      Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
+    } else {
+      RefuseForNow(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun,
+                              "the store did not take the record"});
+    }
+  }
+
+  // The link to the store may be silent while a peer's is not. A refusal by the store waits for
+  // the peers, because one of them may have recorded the request.
   void AskPeers(const net::ServerRequest& request) {
-    if (!waiting_.contains(request.id)) {
+    const auto it = waiting_.find(request.id);
+    if (it == waiting_.end()) {
       return;
     }
+    it->second.is_at_peers = true;
     peers_.Forward(request.request, ViewAge(),
-                   [this, exchange = request.id](std::optional<net::HttpResponse> response, bool) {
-                     const bool is_success = response && response->status < kFirstErrorStatus;
-                     if (is_success && waiting_.erase(exchange) > 0) {
-                       Answer(exchange, std::move(*response));
-                     }
+                   [this, exchange = request.id](std::optional<net::HttpResponse> response,
+                                                 bool may_have_run) {
+                     OnPeersAnswer(exchange, std::move(response), may_have_run);
                    });
   }
 
+  void OnPeersAnswer(net::ExchangeId exchange, std::optional<net::HttpResponse> response,
+                     bool may_have_run) {
+    const auto it = waiting_.find(exchange);
+    if (it == waiting_.end()) {
+      return;
+    }
+    if (IsSuccess(response)) {
+      waiting_.erase(it);
+      Answer(exchange, std::move(*response));
+      return;
+    }
+    it->second.is_at_peers = false;
+    it->second.may_be_recorded = it->second.may_be_recorded || may_have_run;
+    if (it->second.is_refused_here) {
+      RefuseWaiting(exchange);
+    }
+  }
+
+  static bool IsSuccess(const std::optional<net::HttpResponse>& response) {
+    return response && response->status < kFirstErrorStatus;
+  }
+
   void GiveUp(net::ExchangeId exchange) {
     const auto it = waiting_.find(exchange);
     if (it == waiting_.end()) {
       return;
     }
-    logging::LogEvent(logging::LogLevel::kWarning, "job_outcome_unknown", {{"job", it->second}});
+    logging::LogEvent(logging::LogLevel::kWarning, "job_outcome_unknown",
+                      {{"job", it->second.job}});
     waiting_.erase(it);
     Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
   }
@@ -306,7 +388,7 @@
   // Path of each request that is not answered yet.
   std::map<net::ExchangeId, std::string> paths_;
   // Job of each request that waits for the store.
-  std::map<net::ExchangeId, std::string> waiting_;
+  std::map<net::ExchangeId, WaitingRecord> waiting_;
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -67,6 +67,23 @@
     Try({std::move(forwarded), Candidates(), 0, false, port_.Now() - view_age, std::move(done)});
   }
 
+  /// @brief Whether a peer is known and has not failed just now.
+  [[nodiscard]] bool MayAsk(const std::string& peer) const {
+    const auto it = peers_.find(peer);
+    return it != peers_.end() && (it->second.failed_at == workload::SteadyTime() ||
+                                  port_.Now() - it->second.failed_at >= kShortRest);
+  }
+
+  /// @brief Hands a request to one peer, whatever its view of the store.
+  ///
+  /// Done runs once, never before ForwardTo returns. Precondition: MayAsk(peer).
+  void ForwardTo(const std::string& peer, const net::HttpRequest& request, Done done) {
+    net::HttpRequest forwarded = request;
+    forwarded.headers = forwarded.headers.With(kForwardedHeader, instance_);
+    // Only this peer: what it does not take comes back.
+    Send(peer, {std::move(forwarded), {}, 0, false, {}, std::move(done)});
+  }
+
  private:
   static constexpr const char* kForwardedHeader = "X-Loom-Forwarded-By";
   static constexpr const char* kProbeHeader = "X-Loom-View-Age";
@@ -77,6 +94,8 @@
   static constexpr workload::Milliseconds kFresherBy{250};
   // A peer that failed is tried last for this time.
   static constexpr workload::Milliseconds kRest{3'000};
+  // The same for the owner, which is asked again as soon as it may have recovered.
+  static constexpr workload::Milliseconds kShortRest{1'000};
   static constexpr int kOk = 200;
   static constexpr int kUnavailable = 503;
   static constexpr int kOutcomeUnknown = 504;
@@ -137,6 +156,10 @@
       Try(attempt);
       return;
     }
+    Send(peer, attempt);
+  }
+
+  void Send(const std::string& peer, const Attempt& attempt) {
     port_.Call(peers_.at(peer).address, attempt.request, kTimeout,
                life_.Wrap([this, peer, attempt](const net::ClientResult& answer) {
                  OnAnswer(peer, attempt, answer);
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -64,7 +64,8 @@
         peers_(port, settings_.instance),
         front_(port, jobs_, operators_, appender_, peers_, metrics_,
                {hooks_.answer, [this] { OnOwnJobsChanged(); },
-                [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; }}) {}
+                [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; },
+                [this] { return OtherOwner(); }}) {}
 
   /// @brief Begins to follow the store. Call once.
   void Start() {
@@ -350,6 +351,14 @@
     directory_->Start();
   }
 
+  // The instance that owns the workers, if it is another one.
+  std::string OtherOwner() const {
+    const auto& owner = election_.owner();
+    const bool is_other = owner && owner->phase == workload::OwnerPhase::kActive &&
+                          owner->instance != settings_.instance;
+    return is_other ? owner->instance : std::string();
+  }
+
   void OnOwnershipLost() {
     epoch_ = 0;
     // The table holds changes that may not be stored.
--- a/tests/standin/sim_port.h
+++ b/tests/standin/sim_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -47,7 +48,10 @@
   void Cut(const std::string& address) { cut_.insert(address); }
   /// @brief Calls to the address arrive, and their answers are lost, until Heal.
   void LoseAnswers(const std::string& address) { mute_.insert(address); }
+  /// @brief The same for calls whose target begins so, to any address.
+  void LoseAnswersOf(const std::string& target) { mute_targets_.insert(target); }
   void Heal(const std::string& address) {
+    mute_targets_.clear();
     cut_.erase(address);
     mute_.erase(address);
   }
@@ -76,9 +80,9 @@
       Fail(*call, RunState::kDidNotRun);
       return;
     }
-    (*server)(request, [this, alive = std::weak_ptr<bool>(alive_), address,
-                        call](net::HttpResponse response) {
-      if (alive.expired() || cut_.contains(address) || mute_.contains(address)) {
+    (*server)(request, [this, alive = std::weak_ptr<bool>(alive_), address, call,
+                        target = request.target](net::HttpResponse response) {
+      if (alive.expired() || cut_.contains(address) || mute_.contains(address) || IsMute(target)) {
         return;
       }
       world_.After(kOneWay, Live([call, response = std::move(response)] {
@@ -89,6 +93,11 @@
     });
   }
 
+  [[nodiscard]] bool IsMute(const std::string& target) const {
+    return std::any_of(mute_targets_.begin(), mute_targets_.end(),
+                       [&](const std::string& it) { return target.starts_with(it); });
+  }
+
   static void Fail(PendingCall& call, RunState run_state) {
     if (!std::exchange(call.is_over, true)) {
       call.handler({net::CallId(0), std::nullopt,
@@ -99,6 +108,7 @@
   SimWorld& world_;
   std::set<std::string> cut_;
   std::set<std::string> mute_;
+  std::set<std::string> mute_targets_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -1,5 +1,6 @@
 #include "standin/standin_store.h"
 
+#include <algorithm>
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/json/array.hpp>
@@ -61,7 +62,7 @@
   if (path == "/log-append" && refuses_appends_) {
     reply(Json(503, {}));
   } else if (path == "/log-append") {
-    Append(request.target, request.body, reply);
+    AppendInTime(request, reply);
   } else if (path == "/log-read") {
     Read(request.target, std::move(reply));
   } else {
@@ -69,6 +70,23 @@
   }
 }
 
+void StandInStore::AppendInTime(const net::HttpRequest& request, const SimWorld::Reply& reply) {
+  const std::string producer = TextOf(request.target, "producer");
+  const auto slow = std::find_if(slow_producers_.begin(), slow_producers_.end(),
+                                 [&](const auto& it) { return producer.starts_with(it.first); });
+  if (slow == slow_producers_.end()) {
+    Append(request.target, request.body, reply);
+    return;
+  }
+  world_.After(slow->second.delay, [this, request, reply, is_refused = slow->second.is_refused] {
+    if (is_refused) {
+      reply(Json(503, {}));
+    } else {
+      Append(request.target, request.body, reply);
+    }
+  });
+}
+
 void StandInStore::Append(const std::string& target, const std::string& body,
                           const SimWorld::Reply& reply) {
   const std::string name = TextOf(target, "topic");
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -36,6 +36,14 @@
   void Refuse(bool refuse) { refuses_ = refuse; }
   /// @brief Appends are answered with 503, and reads go on, until RefuseAppends(false).
   void RefuseAppends(bool refuse) { refuses_appends_ = refuse; }
+  /// @brief Appends of producers whose names begin so are answered with 503 after a while.
+  void RefuseAppendsOf(const std::string& prefix, workload::Milliseconds delay) {
+    slow_producers_[prefix] = {true, delay};
+  }
+  /// @brief Appends of producers whose names begin so are carried out and answered after a while.
+  void DelayAppendsOf(const std::string& prefix, workload::Milliseconds delay) {
+    slow_producers_[prefix] = {false, delay};
+  }
   /// @brief Every call takes this much longer.
   void SlowDown(workload::Milliseconds delay) { delay_ = delay; }
   /// @brief So many of the next appends are carried out and get no answer.
@@ -56,6 +64,10 @@
     std::uint64_t next = 0;
     std::map<std::uint64_t, std::uint64_t> offsets;
   };
+  struct SlowProducer {
+    bool is_refused = false;
+    workload::Milliseconds delay{0};
+  };
   struct Waiter {
     std::uint64_t from = 0;
     SimWorld::Reply reply;
@@ -70,6 +82,8 @@
 
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
   void Serve(const net::HttpRequest& request, SimWorld::Reply reply);
+  // Carries an append out, or delays or refuses it for its producer.
+  void AppendInTime(const net::HttpRequest& request, const SimWorld::Reply& reply);
   void Append(const std::string& target, const std::string& body, const SimWorld::Reply& reply);
   void Read(const std::string& target, SimWorld::Reply reply);
   [[nodiscard]] net::HttpResponse Newest(const std::string& target);
@@ -78,6 +92,8 @@
 
   SimWorld& world_;
   std::map<std::string, Topic> topics_;
+  // By the beginning of their names.
+  std::map<std::string, SlowProducer> slow_producers_;
   bool refuses_ = false;
   bool refuses_appends_ = false;
   workload::Milliseconds delay_{0};
