Count a gang as fitting only where its members find room

Cause: PlanStarts counted how many members of a gang fit with FitCount, and then placed them with ChooseRoom, whose HasRoom was a second definition of the same thing. They differ where claims of urgent tasks leave less than nothing of a resource: a gang that needs none of that resource was counted as fitting, ChooseRoom returned null, and the owner's process ended. HasRoom is now FitCount > 0, so that the two cannot differ.

Ruled out: a check for null in PlaceGangOn (the two definitions would stay).

The new test ends its process without the change.

--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -23,9 +23,7 @@
 }
 
 bool HasRoom(const WorkerRoom& room, const StartCandidate& step) {
-  const StepSpec& spec = step.spec();
-  return spec.Reserved().FitsIn(room.free) &&
-         (spec.max_per_worker == 0 || room.CountOf(step.step) < spec.max_per_worker);
+  return FitCount(room, room.free, step) > 0;
 }
 
 bool IsAllowed(const WorkerRoom& room, const StartCandidate& step, const PlanRequest& request) {
@@ -40,10 +38,14 @@
                       const StartCandidate& step) {
   const StepSpec& spec = step.spec();
   const Resources needed = spec.Reserved();
+  // Comes first: most workers of a busy fleet have no room. Claims may leave less than nothing of
+  // a resource, in which case not even a task that needs none of it fits.
+  if (!needed.FitsIn(room_left)) {
+    return 0;
+  }
   std::int64_t count = spec.task_count;
   if (spec.max_per_worker > 0) {
-    count = std::min<std::int64_t>(count, spec.max_per_worker) -
-            std::min<std::int64_t>(count, room.CountOf(step.step));
+    count = std::min(count, std::int64_t{spec.max_per_worker} - room.CountOf(step.step));
   }
   const auto limit = [&count](std::int64_t left, std::int64_t need) {
     count = need > 0 ? std::min(count, left / need) : count;
--- a/tests/workload/task_planner_test.cc
+++ b/tests/workload/task_planner_test.cc
@@ -88,6 +88,19 @@
   EXPECT_EQ(Plan().starts.size(), 3U);
 }
 
+// Guards against a gang that needs no accelerators on a worker whose accelerators are claimed twice
+// over: its members were counted as fitting, and found no worker.
+TEST_F(TaskPlannerTest, Gang_WithoutAccelerators_WhereMoreThanAllAreClaimed_StartsNothing) {
+  AddWorker("w1", "r1");
+  Submit("bulk", Step(1, 8), 2);
+  Carry(Plan());
+  Submit("urgent", Step(1, 8), 0);
+  StepSpec gang = Step(2, 0);
+  gang.is_gang = true;
+  Submit("gang", gang, 1);
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
 // Guards against a gang over two racks while one rack has room for it.
 TEST_F(TaskPlannerTest, Gang_ThatPrefersOneRack_StaysOnOne) {
   AddWorker("w1", "r1");
