Forget workers that are gone in one place

Cause: LoseRuns forgot an unlisted worker whose runs it ended, while its callers went on using the worker and its link: a worker whose entry had lapsed, and whose new life answered the next call, left references to freed memory (AddressSanitizer: heap-use-after-free in WorkerPoller::OnLists). An unlisted worker whose last run ended by itself was never forgotten, and a call to a forgotten one made a new link for it. The tick now forgets the workers that are unlisted, hold no runs and have no call on its way; nothing else does.

Ruled out: looking the worker up again after each call that may forget it (the next such call would be missed).

The new test of clusters fails without the change in the build with AddressSanitizer; all 34 pass with it.

--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -85,9 +85,6 @@
     it->second.is_listed = false;
     logging::LogEvent(logging::LogLevel::kInfo, "worker_unlisted",
                       {{"worker", id}, {"runs", it->second.runs.size()}});
-    if (it->second.runs.empty()) {
-      core_.DropWorker(id);
-    }
   }
 
   /// @brief Jobs were submitted or cancelled.
@@ -170,6 +167,7 @@
     }
     core_.advice.Expire(now);
     ExpireLeases(now);
+    DropGoneWorkers();
     drain_moves_.Check(kTick);
     DropOldJobs(now);
     ShowPool(now);
@@ -250,6 +248,19 @@
     }
   }
 
+  // Here only: whoever takes an answer of a worker may go on using it.
+  void DropGoneWorkers() {
+    std::erase_if(core_.workers, [this](const auto& it) {
+      const WorkerLink& link = core_.links[it.first];
+      const bool is_gone = !it.second.is_listed && it.second.runs.empty() && !link.is_polling &&
+                           !link.is_recording_ends;
+      if (is_gone) {
+        core_.links.erase(it.first);
+      }
+      return is_gone;
+    });
+  }
+
   void StopCancelled() {
     for (const auto& [id, job] : core_.jobs.jobs()) {
       if (job.is_cancelled && stopped_jobs_.insert(id).second) {
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -104,8 +104,9 @@
 
   /// @brief Notes the clock that a worker's answer shows.
   void NoteClock(const std::string& worker, const OrderAnswer& answer) {
-    if (answer.clock_ms) {
-      links[worker].lease.OnClock(*answer.clock_ms, port.Now());
+    const auto link = links.find(worker);
+    if (link != links.end() && answer.clock_ms) {
+      link->second.lease.OnClock(*answer.clock_ms, port.Now());
     }
   }
 
@@ -115,12 +116,6 @@
     it.usable_from = std::max(it.usable_from, port.Now() + time);
   }
 
-  /// @brief Forgets a worker. Precondition: it holds no runs.
-  void DropWorker(const std::string& id) {
-    workers.erase(id);
-    links.erase(id);
-  }
-
   Port& port;
   workload::JobTable& jobs;
   const OperatorView& operators;
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -55,9 +55,8 @@
 
   /// @brief Ends and records all runs of a worker whose lease or life is over.
   void LoseRuns(const std::string& id, std::string_view reason) {
-    workload::PoolWorker& worker = core_.workers[id];
     std::vector<workload::PlacedRun> lost;
-    for (const auto& [run, placed] : worker.runs) {
+    for (const auto& [run, placed] : core_.workers[id].runs) {
       if (placed.stage != workload::RunStage::kRecording) {
         lost.push_back(placed);
       }
@@ -72,9 +71,6 @@
       TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
     }
     core_.Append(records, [] {});
-    if (!worker.is_listed) {
-      core_.DropWorker(id);
-    }
     core_.plan_soon();
   }
 
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -33,15 +33,16 @@
 
   /// @brief Calls a worker unless a call is on its way or there is nothing to ask.
   void Poll(const std::string& id) {
-    WorkerLink& link = core_.links[id];
     const auto it = core_.workers.find(id);
-    if (it == core_.workers.end() || link.is_polling || link.is_recording_ends ||
-        it->second.info.address.empty()) {
+    if (it == core_.workers.end() || it->second.info.address.empty()) {
+      return;
+    }
+    const WorkerLink& link = core_.links[id];
+    if (link.is_polling || link.is_recording_ends) {
       return;
     }
     const bool is_idle = it->second.is_attached && it->second.runs.empty();
-    const bool has_ends_to_acknowledge =
-        link.acknowledged_end > core_.links[id].sent_acknowledgement;
+    const bool has_ends_to_acknowledge = link.acknowledged_end > link.sent_acknowledgement;
     if (is_idle && !has_ends_to_acknowledge) {
       return;
     }
@@ -78,7 +79,7 @@
     WorkerLink& link = core_.links[id];
     link.lease.Reset();
     link.acknowledged_end = 0;
-    core_.links[id].sent_acknowledgement = 0;
+    link.sent_acknowledgement = 0;
     link.born_at_ms = born_at_ms;
     core_.workers[id].is_attached = false;
   }
@@ -103,10 +104,8 @@
                const net::ClientResult& result) {
     WorkerLink& link = core_.links[id];
     link.is_polling = false;
-    const auto it = core_.workers.find(id);
-    if (it == core_.workers.end()) {
-      return;
-    }
+    // A worker is kept while a call to it is on its way.
+    workload::PoolWorker& worker = core_.workers.at(id);
     const OrderAnswer answer = Platform::ParseOrder(result);
     if (answer.status == OrderStatus::kFenced) {
       core_.Lose("a worker has seen a higher epoch");
@@ -115,7 +114,7 @@
     const auto lists = Platform::ParseLists(result);
     if (answer.status == OrderStatus::kOtherLife) {
       ends_.LoseRuns(id, "another life of the worker answered");
-      it->second.is_attached = false;
+      worker.is_attached = false;
     }
     if (!lists) {
       OnPollFailed(id);
@@ -123,15 +122,15 @@
     }
     link.failures = 0;
     link.answered_at = core_.port.Now();
-    core_.links[id].sent_acknowledgement = std::max(core_.links[id].sent_acknowledgement, ack);
+    link.sent_acknowledgement = std::max(link.sent_acknowledgement, ack);
     link.lease.OnClock(lists->clock_ms, core_.port.Now());
-    const std::int64_t born = lists->born_at_ms.value_or(it->second.info.born_at_ms);
+    const std::int64_t born = lists->born_at_ms.value_or(worker.info.born_at_ms);
     if (link.born_at_ms != 0 && born != 0 && born != link.born_at_ms) {
       BeginLife(id, born);
     }
     link.born_at_ms = born;
-    if (!it->second.is_attached) {
-      it->second.is_attached = true;
+    if (!worker.is_attached) {
+      worker.is_attached = true;
       logging::LogEvent(logging::LogLevel::kInfo, "worker_attached",
                         {{"worker", id},
                          {"epoch", core_.options.epoch},
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -207,6 +207,22 @@
   EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
 }
 
+// Guards against a worker that is forgotten while its answer is being taken: its entry had lapsed,
+// and a new life answered before it registered.
+TEST_F(EntryClusterTest, Worker_StartedAnewWhileUnlisted_TaskRunsAgainOnceItIsListed) {
+  StandInCluster cluster(2, 1, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.Unregister(*cluster.workers[0]);
+  cluster.RunFor(Milliseconds(500));
+  cluster.workers[0]->Restart();
+  cluster.RunFor(Milliseconds(2'000));
+  cluster.Register(*cluster.workers[0]);
+  cluster.RunFor(Milliseconds(1'500));
+  EXPECT_EQ(cluster.StartsOf(kTask), 2);
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
 // Guards against priority 0 that waits behind less urgent work.
 TEST_F(EntryClusterTest, Submit_UrgentWhenFull_TakesTheRoomOfBulkWork) {
   StandInCluster cluster(2, 1, kLongRunTime);
