Make placed runs in one place, and drop what their pace repeats

What a worker's runs do beside each other was worked out by the planner and by the pacing: PoolWorker tells it.

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "clementineloom/workload/resources.h"
 #include "clementineloom/workload/run_stage.h"
 #include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/step_spec.h"
 #include "clementineloom/workload/task_run.h"
 
 namespace clementineloom::workload {
@@ -30,9 +32,8 @@
   /// The run's own fill or service role, which decides whom it disturbs.
   bool fills_idle_cpu = false;
   std::int64_t tail_target_ms = 0;
-  /// The checkpoint that the run resumed from.
-  std::string checkpoint_at_start;
-  /// The first share of the work that was reported as done, and when.
+  /// The first share of the work that is known to have been done, and when: none at the start of a
+  /// run that resumes nothing, else the first one that was reported.
   std::uint32_t first_percent = 0;
   SteadyTime first_percent_at;
   /// Share of the work that is done, and when it last rose.
@@ -45,6 +46,19 @@
   std::int64_t load_figure = 0;
 
   friend auto operator<=>(const PlacedRun&, const PlacedRun&) = default;
+
+  /// @brief A run of a task of a step, placed at a moment.
+  [[nodiscard]] static PlacedRun Of(TaskRun run, const StepSpec& spec, std::uint32_t priority,
+                                    SteadyTime placed_at) {
+    PlacedRun placed;
+    placed.run = std::move(run);
+    placed.reserved = spec.Reserved();
+    placed.placed_at = placed_at;
+    placed.priority = priority;
+    placed.fills_idle_cpu = spec.fills_idle_cpu;
+    placed.tail_target_ms = spec.tail_target_ms;
+    return placed;
+  }
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/pool_worker.h
+++ b/include/clementineloom/workload/pool_worker.h
@@ -35,6 +35,14 @@
     return is_listed && is_attached && !info.is_draining && now >= usable_from;
   }
 
+  /// @brief Whether runs here serve users, or fill the processors that others leave idle.
+  [[nodiscard]] bool HasServiceTasks() const {
+    return AnyRun([](const PlacedRun& it) { return it.tail_target_ms > 0; });
+  }
+  [[nodiscard]] bool HasFillTasks() const {
+    return AnyRun([](const PlacedRun& it) { return it.fills_idle_cpu; });
+  }
+
   void Add(PlacedRun run) {
     used = used + run.reserved;
     runs.insert_or_assign(run.run, std::move(run));
@@ -56,6 +64,13 @@
     return static_cast<std::uint32_t>(std::count_if(
         runs.begin(), runs.end(), [&](const auto& it) { return it.first.task.step == step; }));
   }
+
+ private:
+  template <class Predicate>
+  [[nodiscard]] bool AnyRun(Predicate matches) const {
+    return std::any_of(runs.begin(), runs.end(),
+                       [&](const auto& it) { return matches(it.second); });
+  }
 };
 
 }  // namespace clementineloom::workload
--- a/src/entry/owner/fill_pacing.h
+++ b/src/entry/owner/fill_pacing.h
@@ -22,13 +22,7 @@
   /// @brief Whether runs that fill and service tasks share a worker, so that it has to be asked
   /// often.
   [[nodiscard]] static bool IsMixed(const workload::PoolWorker& worker) {
-    bool fills = false;
-    bool serves = false;
-    for (const auto& [run, placed] : worker.runs) {
-      fills = fills || placed.fills_idle_cpu;
-      serves = serves || placed.tail_target_ms > 0;
-    }
-    return fills && serves;
+    return worker.HasFillTasks() && worker.HasServiceTasks();
   }
 
   /// @brief A worker has reported; its runs show the figures.
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -128,19 +128,13 @@
 
   void Adopt(const workload::JobEntry& job, const workload::TaskId& task,
              const workload::TaskRecord& record) {
-    workload::PlacedRun run;
-    run.run = {task, record.run};
+    const workload::StepSpec* spec = core_.jobs.FindStep(task.step);
+    workload::PlacedRun run =
+        workload::PlacedRun::Of({task, record.run}, spec == nullptr ? workload::StepSpec{} : *spec,
+                                job.submission ? job.submission->queue.priority : 0, took_over_at_);
     run.stage = workload::RunStage::kStarting;
-    run.placed_at = took_over_at_;
     run.is_adopted = true;
     run.checkpoint = record.checkpoint;
-    if (job.submission && task.step.step < job.submission->steps.size()) {
-      const workload::StepSpec& spec = job.submission->steps[task.step.step];
-      run.reserved = spec.Reserved();
-      run.priority = job.submission->queue.priority;
-      run.fills_idle_cpu = spec.fills_idle_cpu;
-      run.tail_target_ms = spec.tail_target_ms;
-    }
     if (run.fills_idle_cpu) {
       run.pace_percent.reset();
     }
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -13,12 +13,12 @@
   room.worker = &worker;
   room.free = worker.Free();
   room.free_later = room.free;
+  room.has_service_tasks = worker.HasServiceTasks();
+  room.has_fill_tasks = worker.HasFillTasks();
   for (const auto& [run, placed] : worker.runs) {
     if (placed.stage == RunStage::kStopping || EndsSoon(placed, now)) {
       room.free_later = room.free_later + placed.reserved;
     }
-    room.has_service_tasks = room.has_service_tasks || placed.tail_target_ms > 0;
-    room.has_fill_tasks = room.has_fill_tasks || placed.fills_idle_cpu;
   }
   return room;
 }
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -73,17 +73,13 @@
  private:
   PlannedStart StartOn(const WorkerRoom& room, const StartCandidate& step, std::uint32_t index,
                        std::uint64_t run, const std::string& checkpoint) const {
-    const StepSpec& spec = step.spec();
     const std::string& worker = room.worker->info.id;
-    PlacedRun placed;
-    placed.run = {{step.step, index}, run};
-    placed.reserved = spec.Reserved();
-    placed.placed_at = request_.now;
-    placed.priority = step.priority();
+    PlacedRun placed =
+        PlacedRun::Of({{step.step, index}, run}, step.spec(), step.priority(), request_.now);
     placed.checkpoint = checkpoint;
-    placed.checkpoint_at_start = checkpoint;
-    placed.fills_idle_cpu = spec.fills_idle_cpu;
-    placed.tail_target_ms = spec.tail_target_ms;
+    if (checkpoint.empty()) {
+      placed.first_percent_at = request_.now;
+    }
     return {worker, std::move(placed), request_.advice.Ticket(step.step, worker, request_.now)};
   }
 
--- a/tests/workload/drain_move_test.cc
+++ b/tests/workload/drain_move_test.cc
@@ -9,12 +9,18 @@
  protected:
   DrainMoveTest() {
     spec_.estimate_ms = 10'000;
-    run_.placed_at = now_ - Milliseconds(2'000);
+    StartAt(now_ - Milliseconds(2'000));
     run_.progress_percent = 20;
     run_.progressed_at = now_;
     times_ = {now_ + Milliseconds(3'000), Milliseconds(400)};
   }
 
+  // A run that began with nothing done.
+  void StartAt(SteadyTime moment) {
+    run_.placed_at = moment;
+    run_.first_percent_at = moment;
+  }
+
   const SteadyTime now_ = SteadyTime() + Milliseconds(60'000);
   StepSpec spec_;
   PlacedRun run_;
@@ -45,7 +51,7 @@
 
 // Guards against throwing away most of a run that may still end if the worker stays longer.
 TEST_F(DrainMoveTest, Run_WithoutCheckpointsAndMuchDone_IsLeftAlone) {
-  run_.placed_at = now_ - Milliseconds(20'000);
+  StartAt(now_ - Milliseconds(20'000));
   run_.progress_percent = 70;
   EXPECT_EQ(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
 }
@@ -61,7 +67,8 @@
 // Guards against a pace that is taken from the work of an earlier run.
 TEST_F(DrainMoveTest, Run_ResumedFromACheckpoint_IsJudgedByItsEstimate) {
   spec_.saves_checkpoints = true;
-  run_.checkpoint_at_start = "saved";
+  run_.checkpoint = "saved";
+  run_.first_percent_at = {};
   run_.progress_percent = 65;
   run_.placed_at = now_ - Milliseconds(100);
   EXPECT_NE(DrainStopAt(spec_, run_, now_, times_), std::nullopt);
