List the members of a stored submission once

Each member of a queue, a step and a job stood in two lists, one that writes and one that reads; a member left out of one of them would be lost at the next load. One list now serves both. The stored form is unchanged: same keys, same order, members with their default left out.

The round trip of the test of records passes as it is; two cases of members of a wrong type are added, which pass before and after.

--- a/src/codec/detail/submission_json.cc
+++ b/src/codec/detail/submission_json.cc
@@ -2,7 +2,10 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/value_from.hpp>
+#include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "codec/detail/json_reader.h"
 
@@ -15,12 +18,12 @@
 using workload::StepSpec;
 
 // Writes members that differ from their default, which keeps most records short.
-class SparseObject {
+class SparseWriter {
  public:
   template <class T>
-  void Put(std::string_view key, const T& value) {
-    if (value != T{}) {
-      object_[key] = json::value_from(value);
+  void operator()(std::string_view key, const T& member) {
+    if (member != T{}) {
+      object_[key] = json::value_from(member);
     }
   }
 
@@ -30,142 +33,139 @@
   json::object object_;
 };
 
-// Reads members that may have been left out.
+// Reads members that may have been left out, up to the first that cannot be read.
 class SparseReader {
  public:
   explicit SparseReader(const JsonReader& json) : json_(json) {}
 
-  Result<void> Get(std::string_view key, std::string& member) const {
-    if (json_.Has(key)) {
-      BOOST_LEAF_ASSIGN(member, json_.String(key));
+  template <class T>
+  void operator()(std::string_view key, T& member) {
+    if (status_ && json_.Has(key)) {
+      status_ = Get(key, member);
     }
+  }
+
+  Result<void> Take() { return std::move(status_); }
+
+ private:
+  Result<void> Get(std::string_view key, std::string& member) const {
+    BOOST_LEAF_ASSIGN(member, json_.String(key));
     return {};
   }
   Result<void> Get(std::string_view key, bool& member) const {
-    if (json_.Has(key)) {
-      BOOST_LEAF_ASSIGN(member, json_.Bool(key));
-    }
+    BOOST_LEAF_ASSIGN(member, json_.Bool(key));
     return {};
   }
   Result<void> Get(std::string_view key, std::uint32_t& member) const {
-    if (json_.Has(key)) {
-      BOOST_LEAF_ASSIGN(member, json_.Number<std::uint32_t>(key));
-    }
+    BOOST_LEAF_ASSIGN(member, json_.Number<std::uint32_t>(key));
     return {};
   }
   Result<void> Get(std::string_view key, std::int64_t& member) const {
-    if (json_.Has(key)) {
-      BOOST_LEAF_ASSIGN(member, json_.Signed(key));
+    BOOST_LEAF_ASSIGN(member, json_.Signed(key));
+    return {};
+  }
+  Result<void> Get(std::string_view key, std::vector<std::uint32_t>& member) const {
+    BOOST_LEAF_AUTO(array, json_.Array(key));
+    for (const json::value& it : *array) {
+      if (!it.is_int64() && !it.is_uint64()) {
+        return Refuse(ResultCode::kWrongType, std::string(key));
+      }
+      member.push_back(it.to_number<std::uint32_t>());
     }
     return {};
   }
 
- private:
   const JsonReader& json_;
+  Result<void> status_;
 };
 
+// Each list of members serves the writer and the reader, so that none can be left out of one.
+
+template <class Visitor, class AnyQueue>
+void VisitQueue(Visitor& visit, AnyQueue& queue, std::int64_t& stretch_percent) {
+  visit("name", queue.name);
+  visit("service", queue.service);
+  visit("priority", queue.priority);
+  visit("max_attempts", queue.max_attempts);
+  visit("stretch_percent", stretch_percent);
+  visit("target_ms", queue.target_latency_ms);
+  visit("advice", queue.needs_advice);
+}
+
+template <class Visitor, class AnyStep>
+void VisitStep(Visitor& visit, AnyStep& step) {
+  visit("tasks", step.task_count);
+  visit("cpu", step.per_task.cpu_millicores);
+  visit("memory_mb", step.per_task.memory_mb);
+  visit("accelerators", step.per_task.accelerators);
+  visit("estimate_ms", step.estimate_ms);
+  visit("after", step.depends_on);
+  visit("checkpoints", step.saves_checkpoints);
+  visit("gang", step.is_gang);
+  visit("one_rack", step.prefers_one_rack);
+  visit("label", step.required_label);
+  visit("data_rack", step.data_rack);
+  visit("max_per_worker", step.max_per_worker);
+  visit("duplicates", step.allows_duplicates);
+  visit("endless", step.runs_until_cancelled);
+  visit("image", step.image);
+  visit("tail_ms", step.tail_target_ms);
+  visit("fills", step.fills_idle_cpu);
+  visit("max_unavailable", step.max_unavailable);
+}
+
+template <class Visitor, class AnySubmission>
+void VisitSubmission(Visitor& visit, AnySubmission& submission) {
+  visit("team", submission.team);
+  visit("accepted_at_ms", submission.accepted_at_ms);
+  visit("payload", submission.payload);
+  visit("occurrences", submission.occurrences);
+  visit("first_run_at_ms", submission.first_run_at_ms);
+  visit("interval_ms", submission.interval_ms);
+}
+
+constexpr double kPercent = 100;
+
 json::object ToJson(const Queue& queue) {
-  SparseObject object;
-  object.Put("name", queue.name);
-  object.Put("service", queue.service);
-  object.Put("priority", queue.priority);
-  object.Put("max_attempts", queue.max_attempts);
-  object.Put("stretch_percent", static_cast<std::int64_t>(queue.stretch * 100));
-  object.Put("target_ms", queue.target_latency_ms);
-  object.Put("advice", queue.needs_advice);
-  return object.Take();
+  auto stretch_percent = static_cast<std::int64_t>(queue.stretch * kPercent);
+  SparseWriter writer;
+  VisitQueue(writer, queue, stretch_percent);
+  return writer.Take();
 }
 
 Result<Queue> ReadQueue(const JsonReader& json) {
-  const SparseReader reader(json);
   Queue queue;
+  // Left out where it is 0, which is not its default.
   queue.max_attempts = 0;
   std::int64_t stretch_percent = 0;
-  BOOST_LEAF_CHECK(reader.Get("name", queue.name));
-  BOOST_LEAF_CHECK(reader.Get("service", queue.service));
-  BOOST_LEAF_CHECK(reader.Get("priority", queue.priority));
-  BOOST_LEAF_CHECK(reader.Get("max_attempts", queue.max_attempts));
-  BOOST_LEAF_CHECK(reader.Get("stretch_percent", stretch_percent));
-  BOOST_LEAF_CHECK(reader.Get("target_ms", queue.target_latency_ms));
-  BOOST_LEAF_CHECK(reader.Get("advice", queue.needs_advice));
-  queue.stretch = static_cast<double>(stretch_percent) / 100;
+  SparseReader reader(json);
+  VisitQueue(reader, queue, stretch_percent);
+  BOOST_LEAF_CHECK(reader.Take());
+  queue.stretch = static_cast<double>(stretch_percent) / kPercent;
   return queue;
 }
 
 json::object ToJson(const StepSpec& step) {
-  SparseObject object;
-  object.Put("tasks", step.task_count);
-  object.Put("cpu", step.per_task.cpu_millicores);
-  object.Put("memory_mb", step.per_task.memory_mb);
-  object.Put("accelerators", step.per_task.accelerators);
-  object.Put("estimate_ms", step.estimate_ms);
-  object.Put("after", step.depends_on);
-  object.Put("checkpoints", step.saves_checkpoints);
-  object.Put("gang", step.is_gang);
-  object.Put("one_rack", step.prefers_one_rack);
-  object.Put("label", step.required_label);
-  object.Put("data_rack", step.data_rack);
-  object.Put("max_per_worker", step.max_per_worker);
-  object.Put("duplicates", step.allows_duplicates);
-  object.Put("endless", step.runs_until_cancelled);
-  object.Put("image", step.image);
-  object.Put("tail_ms", step.tail_target_ms);
-  object.Put("fills", step.fills_idle_cpu);
-  object.Put("max_unavailable", step.max_unavailable);
-  return object.Take();
-}
-
-Result<std::vector<std::uint32_t>> ReadDependencies(const JsonReader& json) {
-  std::vector<std::uint32_t> steps;
-  if (!json.Has("after")) {
-    return steps;
-  }
-  BOOST_LEAF_AUTO(array, json.Array("after"));
-  for (const json::value& it : *array) {
-    if (!it.is_int64() && !it.is_uint64()) {
-      return Refuse(ResultCode::kWrongType, "after");
-    }
-    steps.push_back(it.to_number<std::uint32_t>());
-  }
-  return steps;
+  SparseWriter writer;
+  VisitStep(writer, step);
+  return writer.Take();
 }
 
 Result<StepSpec> ReadStep(const json::value& value) {
   BOOST_LEAF_AUTO(json, JsonReader::Of(value));
-  const SparseReader reader(json);
   StepSpec step;
-  BOOST_LEAF_CHECK(reader.Get("tasks", step.task_count));
-  BOOST_LEAF_CHECK(reader.Get("cpu", step.per_task.cpu_millicores));
-  BOOST_LEAF_CHECK(reader.Get("memory_mb", step.per_task.memory_mb));
-  BOOST_LEAF_CHECK(reader.Get("accelerators", step.per_task.accelerators));
-  BOOST_LEAF_CHECK(reader.Get("estimate_ms", step.estimate_ms));
-  BOOST_LEAF_ASSIGN(step.depends_on, ReadDependencies(json));
-  BOOST_LEAF_CHECK(reader.Get("checkpoints", step.saves_checkpoints));
-  BOOST_LEAF_CHECK(reader.Get("gang", step.is_gang));
-  BOOST_LEAF_CHECK(reader.Get("one_rack", step.prefers_one_rack));
-  BOOST_LEAF_CHECK(reader.Get("label", step.required_label));
-  BOOST_LEAF_CHECK(reader.Get("data_rack", step.data_rack));
-  BOOST_LEAF_CHECK(reader.Get("max_per_worker", step.max_per_worker));
-  BOOST_LEAF_CHECK(reader.Get("duplicates", step.allows_duplicates));
-  BOOST_LEAF_CHECK(reader.Get("endless", step.runs_until_cancelled));
-  BOOST_LEAF_CHECK(reader.Get("image", step.image));
-  BOOST_LEAF_CHECK(reader.Get("tail_ms", step.tail_target_ms));
-  BOOST_LEAF_CHECK(reader.Get("fills", step.fills_idle_cpu));
-  BOOST_LEAF_CHECK(reader.Get("max_unavailable", step.max_unavailable));
+  SparseReader reader(json);
+  VisitStep(reader, step);
+  BOOST_LEAF_CHECK(reader.Take());
   return step;
 }
 
 }  // namespace
 
 json::object ToJson(const JobSubmission& submission) {
-  SparseObject object;
-  object.Put("team", submission.team);
-  object.Put("accepted_at_ms", submission.accepted_at_ms);
-  object.Put("payload", submission.payload);
-  object.Put("occurrences", submission.occurrences);
-  object.Put("first_run_at_ms", submission.first_run_at_ms);
-  object.Put("interval_ms", submission.interval_ms);
-  json::object result = object.Take();
+  SparseWriter writer;
+  VisitSubmission(writer, submission);
+  json::object result = writer.Take();
   result["queue"] = ToJson(submission.queue);
   json::array steps;
   for (const StepSpec& it : submission.steps) {
@@ -177,15 +177,11 @@
 
 Result<JobSubmission> ReadSubmission(std::string id, const json::value& value) {
   BOOST_LEAF_AUTO(json, JsonReader::Of(value));
-  const SparseReader reader(json);
   JobSubmission submission;
   submission.id = std::move(id);
-  BOOST_LEAF_CHECK(reader.Get("team", submission.team));
-  BOOST_LEAF_CHECK(reader.Get("accepted_at_ms", submission.accepted_at_ms));
-  BOOST_LEAF_CHECK(reader.Get("payload", submission.payload));
-  BOOST_LEAF_CHECK(reader.Get("occurrences", submission.occurrences));
-  BOOST_LEAF_CHECK(reader.Get("first_run_at_ms", submission.first_run_at_ms));
-  BOOST_LEAF_CHECK(reader.Get("interval_ms", submission.interval_ms));
+  SparseReader reader(json);
+  VisitSubmission(reader, submission);
+  BOOST_LEAF_CHECK(reader.Take());
   BOOST_LEAF_AUTO(queue, json.Object("queue"));
   BOOST_LEAF_ASSIGN(submission.queue, ReadQueue(queue));
   BOOST_LEAF_AUTO(steps, json.Array("steps"));
--- a/tests/codec/workload_record_codec_test.cc
+++ b/tests/codec/workload_record_codec_test.cc
@@ -85,6 +85,9 @@
   EXPECT_EQ(CodeOf({"owner", "{}"}), ResultCode::kCorruptRecord);
   EXPECT_EQ(CodeOf({"e/job", "7"}), ResultCode::kCorruptRecord);
   EXPECT_NE(CodeOf({"s/job", "{\"queue\":{}}"}), ResultCode::kOk);
+  EXPECT_NE(CodeOf({"s/job", R"({"queue":{"priority":"x"},"steps":[]})"}), ResultCode::kOk);
+  EXPECT_NE(CodeOf({"s/job", R"({"queue":{},"steps":[{"after":["x"],"tasks":1}]})"}),
+            ResultCode::kOk);
 }
 
 // Guards against names that two tasks share or that cannot be read back.
