Share what the daemons' mains, servers and settings checks repeat

The entry daemon had copied from the gateway and the scheduler how a command line names the settings, how a refusal is printed, how options of a server follow from an address, and how a file of settings is read and checked. These are process::SettingsFileOf, process::ReportRefusal, net::HttpServerOptionsAt and CheckFile now, used by all of them; loom-gateway keeps its own options on the command line, which have no positional argument.

Behaviour is unchanged: help, a missing file, an unknown option and no argument give the same texts and exit codes (0, 1, 2; loom-entry 1 without an argument, as before).

--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -12,7 +12,7 @@
 #include "entry/entry_event.h"
 #include "metrics/metric_registry.h"
 #include "net/http_server.h"
-#include "net/parse_endpoint.h"
+#include "net/http_server_options_at.h"
 #include "net/refusal_response.h"
 #include "settings/entry_settings.h"
 
@@ -56,8 +56,8 @@
   EntryDaemon() = default;
 
   Result<void> Open(const settings::EntrySettings& settings) {
-    BOOST_LEAF_AUTO(ready_options, OptionsOf(settings.ready));
-    BOOST_LEAF_AUTO(front_options, OptionsOf(settings.listen));
+    BOOST_LEAF_AUTO(ready_options, net::HttpServerOptionsAt(settings.ready));
+    BOOST_LEAF_AUTO(front_options, net::HttpServerOptionsAt(settings.listen));
     BOOST_LEAF_ASSIGN(
         ready_, net::HttpServer::Start("ready", ready_options, [this](net::ServerRequest request) {
           AnswerReady(request);
@@ -78,7 +78,7 @@
   }
 
   Result<void> OpenMetrics(const std::string& address) {
-    BOOST_LEAF_AUTO(options, OptionsOf(address));
+    BOOST_LEAF_AUTO(options, net::HttpServerOptionsAt(address));
     BOOST_LEAF_ASSIGN(metrics_server_, net::HttpServer::Start("metrics", options,
                                                               [this](net::ServerRequest request) {
                                                                 AnswerMetrics(request);
@@ -87,14 +87,6 @@
     return {};
   }
 
-  static Result<net::HttpServerOptions> OptionsOf(const std::string& address) {
-    BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(address));
-    net::HttpServerOptions options;
-    options.address = endpoint.address().to_string();
-    options.port = endpoint.port();
-    return options;
-  }
-
   // Runs on the server's thread, so that the check costs the decisions nothing.
   void AnswerReady(const net::ServerRequest& request) {
     ready_->Answer(request.id, {is_ready_ ? kOk : kNotReady, {}, {}});
--- a/src/entry/entry_main.h
+++ b/src/entry/entry_main.h
@@ -1,22 +1,17 @@
 #pragma once
 
 #include <csignal>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <string>
 
-#include "clementineloom/errors/result_code_table.h"
 #include "entry/entry_daemon.h"
 #include "logging/event_log.h"
+#include "process/command_line.h"
 #include "process/limit_memory_arenas.h"
 #include "process/stop_signals.h"
 #include "settings/load_settings.h"
 
 namespace clementineloom::entry {
 
-inline constexpr int kExitFailed = 1;
-inline constexpr int kExitUsage = 2;
-
 /// @brief Serves until SIGTERM or SIGINT. @return the exit code of the process
 template <class Platform>
 int ServeEntry(const std::string& file) {
@@ -43,10 +38,7 @@
         LogEvent(LogLevel::kInfo, "stopped", {});
         return 0;
       },
-      [](const Refusal& refusal) {
-        std::cerr << ResultCodeName(refusal.code) << ": " << refusal.detail << "\n";
-        return kExitFailed;
-      });
+      process::ReportRefusal);
 }
 
 /// @brief The main function of an entry daemon.
@@ -55,18 +47,10 @@
 int EntryMain(int argc, char** argv, const std::string& default_settings) {
   process::LimitMemoryArenas();
   process::BlockControlSignals();
-  cxxopts::Options options("loom-entry", "Takes jobs from callers and runs them on workers");
-  options.add_options()("settings", "file of settings (JSON with comments)",
-                        cxxopts::value<std::string>()->default_value(default_settings))(
-      "help", "print this help");
-  options.parse_positional({"settings"});
-  options.positional_help("SETTINGS");
-  const cxxopts::ParseResult parsed = options.parse(argc, argv);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  return ServeEntry<Platform>(parsed["settings"].as<std::string>());
+  const auto file =
+      process::SettingsFileOf(argc, argv, "loom-entry",
+                              "Takes jobs from callers and runs them on workers", default_settings);
+  return file ? ServeEntry<Platform>(*file) : 0;
 }
 
 }  // namespace clementineloom::entry
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -3,9 +3,9 @@
 #include <iostream>
 #include <string>
 
-#include "clementineloom/errors/result_code_table.h"
 #include "gateway/gateway_daemon.h"
 #include "logging/event_log.h"
+#include "process/command_line.h"
 #include "process/limit_memory_arenas.h"
 #include "process/stop_signals.h"
 #include "settings/load_settings.h"
@@ -13,17 +13,12 @@
 namespace {
 
 using clementineloom::CatchRefusal;
-using clementineloom::Refusal;
 using clementineloom::Result;
-using clementineloom::ResultCodeName;
 using clementineloom::gateway::GatewayDaemon;
 using clementineloom::logging::ConfigureLog;
 using clementineloom::logging::LogEvent;
 using clementineloom::logging::LogLevel;
 
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
 Result<int> Serve(const std::string& file) {
   BOOST_LEAF_AUTO(settings, clementineloom::settings::LoadGatewaySettings(file));
   BOOST_LEAF_CHECK(ConfigureLog(settings.common.log_level, settings.common.log_file));
@@ -43,11 +38,7 @@
 }
 
 int Run(const std::string& file) {
-  return CatchRefusal([&] { return Serve(file); },
-                      [](const Refusal& refusal) {
-                        std::cerr << ResultCodeName(refusal.code) << ": " << refusal.detail << "\n";
-                        return kExitFailed;
-                      });
+  return CatchRefusal([&] { return Serve(file); }, clementineloom::process::ReportRefusal);
 }
 
 }  // namespace
@@ -67,6 +58,6 @@
     return Run(parsed["settings"].as<std::string>());
   } catch (const std::exception& ex) {
     std::cerr << ex.what() << "\n";
-    return kExitUsage;
+    return clementineloom::process::kExitUsage;
   }
 }
--- a/src/gateway/options_of.cc
+++ b/src/gateway/options_of.cc
@@ -4,7 +4,7 @@
 #include <random>
 #include <utility>
 
-#include "net/parse_endpoint.h"
+#include "net/http_server_options_at.h"
 
 namespace clementineloom::gateway {
 namespace {
@@ -15,14 +15,6 @@
 constexpr std::size_t kAdminConnections = 32;
 constexpr std::size_t kAdminBodyBytes = 4096;
 
-Result<net::HttpServerOptions> ListenOn(const std::string& address) {
-  BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(address));
-  net::HttpServerOptions options;
-  options.address = endpoint.address().to_string();
-  options.port = endpoint.port();
-  return options;
-}
-
 RoutingOptions RoutingOptionsOf(const settings::GatewaySettings& settings) {
   RoutingOptions options;
   options.instance = settings.common.instance;
@@ -37,7 +29,7 @@
 
 Result<GatewayOptions> GatewayOptionsOf(const settings::GatewaySettings& settings) {
   GatewayOptions options;
-  BOOST_LEAF_ASSIGN(options.server, ListenOn(settings.listen));
+  BOOST_LEAF_ASSIGN(options.server, net::HttpServerOptionsAt(settings.listen));
   options.server.max_connections = settings.max_connections;
   options.server.max_header_bytes = settings.max_header_bytes;
   options.server.max_body_bytes = settings.max_body_bytes;
@@ -53,7 +45,7 @@
 }
 
 Result<net::HttpServerOptions> AdminOptionsOf(const settings::GatewaySettings& settings) {
-  BOOST_LEAF_AUTO(options, ListenOn(settings.common.admin));
+  BOOST_LEAF_AUTO(options, net::HttpServerOptionsAt(settings.common.admin));
   options.max_connections = kAdminConnections;
   options.max_body_bytes = kAdminBodyBytes;
   options.answer_ring = kAdminConnections;
--- a/src/scheduler/main.cc
+++ b/src/scheduler/main.cc
@@ -1,10 +1,9 @@
-#include <cxxopts.hpp>
 #include <exception>
 #include <iostream>
 #include <string>
 
-#include "clementineloom/errors/result_code_table.h"
 #include "logging/event_log.h"
+#include "process/command_line.h"
 #include "process/limit_memory_arenas.h"
 #include "process/stop_signals.h"
 #include "scheduler/scheduler.h"
@@ -13,16 +12,11 @@
 namespace {
 
 using clementineloom::CatchRefusal;
-using clementineloom::Refusal;
 using clementineloom::Result;
-using clementineloom::ResultCodeName;
 using clementineloom::logging::LogEvent;
 using clementineloom::logging::LogLevel;
 using clementineloom::scheduler::Scheduler;
 
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
 int Serve(const std::string& file) {
   return CatchRefusal(
       [&]() -> Result<int> {
@@ -43,10 +37,7 @@
         LogEvent(LogLevel::kInfo, "stopped", {});
         return 0;
       },
-      [](const Refusal& refusal) {
-        std::cerr << ResultCodeName(refusal.code) << ": " << refusal.detail << "\n";
-        return kExitFailed;
-      });
+      clementineloom::process::ReportRefusal);
 }
 
 }  // namespace
@@ -55,19 +46,11 @@
   clementineloom::process::LimitMemoryArenas();
   clementineloom::process::BlockStopSignals();
   try {
-    cxxopts::Options options("loom-scheduler", "Schedules jobs from the control stream");
-    options.add_options()("settings", "file of settings (JSON with comments)",
-                          cxxopts::value<std::string>())("help", "print this help");
-    options.parse_positional({"settings"});
-    options.positional_help("SETTINGS");
-    const cxxopts::ParseResult parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    return Serve(parsed["settings"].as<std::string>());
+    const auto file = clementineloom::process::SettingsFileOf(
+        argc, argv, "loom-scheduler", "Schedules jobs from the control stream");
+    return file ? Serve(*file) : 0;
   } catch (const std::exception& ex) {
     std::cerr << ex.what() << "\n";
-    return kExitUsage;
+    return clementineloom::process::kExitUsage;
   }
 }
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -5,6 +5,7 @@
 
 #include "clementineloom/concurrency/duty_thread.h"
 #include "clementineloom/decision/default_decision_engine.h"
+#include "net/http_server_options_at.h"
 #include "net/parse_endpoint.h"
 #include "platform/http_log_client.h"
 #include "platform/http_worker_channel.h"
@@ -133,10 +134,7 @@
 
  private:
   Result<void> StartAdmin() {
-    BOOST_LEAF_AUTO(endpoint, net::ParseEndpoint(settings_.common.admin));
-    net::HttpServerOptions options;
-    options.address = endpoint.address().to_string();
-    options.port = endpoint.port();
+    BOOST_LEAF_AUTO(options, net::HttpServerOptionsAt(settings_.common.admin));
     BOOST_LEAF_ASSIGN(admin_server_,
                       net::HttpServer::Start("admin-io", options, [this](net::ServerRequest it) {
                         return admin_.TryPush(std::move(it));
--- a/src/settings/check_daemon_settings.cc
+++ b/src/settings/check_daemon_settings.cc
@@ -70,8 +70,10 @@
       check, {{"listen", settings.listen}, {"ready", settings.ready}, {"store", settings.store}});
 }
 
-template <class S>
-Checked<S> Check(const std::string& file, const std::vector<SettingsField<S>>& fields) {
+// Reads a file and checks each value by itself; what accept(root, check, value) does with the
+// values, and checks of their relations, follows only once every value is sound.
+template <class S, class Accept>
+Checked<S> CheckFile(const std::string& file, const std::vector<KeySpec>& specs, Accept accept) {
   Checked<Document> document = ReadDocument(file);
   Checked<S> checked;
   checked.problems = std::move(document.problems);
@@ -79,21 +81,28 @@
   if (!checked.problems.empty() && root.empty()) {
     return checked;
   }
-  std::vector<KeySpec> specs = SpecsOf(CommonFields());
-  const std::vector<KeySpec> own = SpecsOf(fields);
-  specs.insert(specs.end(), own.begin(), own.end());
   ObjectCheck check(document.value, "", root, checked.problems);
   check.Run(specs);
-  // The relations between values are checked only once every value is sound by itself.
   if (checked.problems.empty()) {
-    AssignFields(CommonFields(), root, checked.value.common);
-    AssignFields(fields, root, checked.value);
-    CheckTimes(check, checked.value);
-    CheckAddresses(check, checked.value);
+    accept(root, check, checked.value);
   }
   return checked;
 }
 
+template <class S>
+Checked<S> Check(const std::string& file, const std::vector<SettingsField<S>>& fields) {
+  std::vector<KeySpec> specs = SpecsOf(CommonFields());
+  const std::vector<KeySpec> own = SpecsOf(fields);
+  specs.insert(specs.end(), own.begin(), own.end());
+  return CheckFile<S>(file, specs,
+                      [&fields](const json::object& root, ObjectCheck& check, S& value) {
+                        AssignFields(CommonFields(), root, value.common);
+                        AssignFields(fields, root, value);
+                        CheckTimes(check, value);
+                        CheckAddresses(check, value);
+                      });
+}
+
 }  // namespace
 
 Checked<GatewaySettings> CheckGatewaySettings(const std::string& file) {
@@ -105,20 +114,12 @@
 }
 
 Checked<EntrySettings> CheckEntrySettings(const std::string& file) {
-  Checked<Document> document = ReadDocument(file);
-  Checked<EntrySettings> checked;
-  checked.problems = std::move(document.problems);
-  const json::object& root = document.value.root.get_object();
-  if (!checked.problems.empty() && root.empty()) {
-    return checked;
-  }
-  ObjectCheck check(document.value, "", root, checked.problems);
-  check.Run(SpecsOf(EntryFields()));
-  if (checked.problems.empty()) {
-    AssignFields(EntryFields(), root, checked.value);
-    CheckAddresses(check, checked.value);
-  }
-  return checked;
+  return CheckFile<EntrySettings>(
+      file, SpecsOf(EntryFields()),
+      [](const json::object& root, ObjectCheck& check, EntrySettings& value) {
+        AssignFields(EntryFields(), root, value);
+        CheckAddresses(check, value);
+      });
 }
 
 }  // namespace clementineloom::settings
