Remove an item that nobody reads, and repeated pieces of the caller's side

ParseOperatorItem gave an Evacuation that its only caller never saw, because evacuations are recognised by their key before: the type is gone. PeerRouter marked a request as handed on and told a failed peer in two places each, and UrgentClaims held and gave back room in two loops. Two comments named what no longer exists.

--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -48,6 +48,8 @@
     std::int64_t cost = 0;
   };
 
+  // Holds an amount for each task in the room that the last plan claimed for it.
+  void HoldEach(const StartCandidate& step, const Resources& amount);
   void MakeRoomOnOneRack(const StartCandidate& step);
   // Tries to claim room for all tasks on copies of the rack's rooms.
   [[nodiscard]] std::optional<RackClaim> TryRack(const StartCandidate& step,
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -387,7 +387,7 @@
   logging::EventBudget refusal_budget_{kRefusalLines};
   // Path of each request that is not answered yet.
   std::map<net::ExchangeId, std::string> paths_;
-  // Job of each request that waits for the store.
+  // Each request that waits for its record.
   std::map<net::ExchangeId, WaitingRecord> waiting_;
 };
 
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -62,26 +62,21 @@
   /// Done runs once, never before Forward returns.
   /// @param view_age of this instance
   void Forward(const net::HttpRequest& request, workload::Milliseconds view_age, Done done) {
-    net::HttpRequest forwarded = request;
-    forwarded.headers = forwarded.headers.With(kForwardedHeader, instance_);
-    Try({std::move(forwarded), Candidates(), 0, false, port_.Now() - view_age, std::move(done)});
+    Try({Forwarded(request), Candidates(), 0, false, port_.Now() - view_age, std::move(done)});
   }
 
   /// @brief Whether a peer is known and has not failed just now.
   [[nodiscard]] bool MayAsk(const std::string& peer) const {
     const auto it = peers_.find(peer);
-    return it != peers_.end() && (it->second.failed_at == workload::SteadyTime() ||
-                                  port_.Now() - it->second.failed_at >= kShortRest);
+    return it != peers_.end() && !HasFailedWithin(it->second, kShortRest);
   }
 
   /// @brief Hands a request to one peer, whatever its view of the store.
   ///
   /// Done runs once, never before ForwardTo returns. Precondition: MayAsk(peer).
   void ForwardTo(const std::string& peer, const net::HttpRequest& request, Done done) {
-    net::HttpRequest forwarded = request;
-    forwarded.headers = forwarded.headers.With(kForwardedHeader, instance_);
     // Only this peer: what it does not take comes back.
-    Send(peer, {std::move(forwarded), {}, 0, false, {}, std::move(done)});
+    Send(peer, {Forwarded(request), {}, 0, false, {}, std::move(done)});
   }
 
  private:
@@ -114,17 +109,24 @@
     Done done;
   };
 
+  net::HttpRequest Forwarded(net::HttpRequest request) const {
+    request.headers = request.headers.With(kForwardedHeader, instance_);
+    return request;
+  }
+
+  bool HasFailedWithin(const Peer& peer, workload::Milliseconds time) const {
+    return peer.failed_at != workload::SteadyTime() && port_.Now() - peer.failed_at < time;
+  }
+
   // Peers that did not fail of late, beginning with the one that answered last.
   std::vector<std::string> Candidates() const {
     std::vector<std::string> good;
     std::vector<std::string> resting;
     for (const auto& [name, peer] : peers_) {
-      const bool has_failed =
-          peer.failed_at != workload::SteadyTime() && port_.Now() - peer.failed_at < kRest;
       if (name == last_good_) {
         good.insert(good.begin(), name);
       } else {
-        (has_failed ? resting : good).push_back(name);
+        (HasFailedWithin(peer, kRest) ? resting : good).push_back(name);
       }
     }
     good.insert(good.end(), resting.begin(), resting.end());
--- a/src/entry/operator/operator_item.h
+++ b/src/entry/operator/operator_item.h
@@ -3,11 +3,10 @@
 #include <variant>
 
 #include "clementineloom/workload/workload_config.h"
-#include "entry/operator/evacuation.h"
 
 namespace clementineloom::entry {
 
 /// @brief An item that operators publish; the empty state stands for one of another kind.
-using OperatorItem = std::variant<std::monostate, workload::WorkloadConfig, Evacuation>;
+using OperatorItem = std::variant<std::monostate, workload::WorkloadConfig>;
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -30,7 +30,7 @@
 /// A start is recorded before it is ordered, and an end before it is acknowledged to its worker,
 /// so that another instance can take over at any moment. Changes are applied to the table at once
 /// and reach the store in that order. When the store or a worker shows that a higher epoch exists,
-/// or the store has not confirmed this one for kMaxUnconfirmed, on_lost runs once and the owner
+/// or OwnerContact says that it may not go on without the store, on_lost runs once and the owner
 /// orders nothing more.
 /// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -17,18 +17,16 @@
   }
 }
 
-void UrgentClaims::Hold(const StartCandidate& step) {
-  for (const std::uint32_t index : step.task_indexes) {
-    if (WorkerRoom* room = LastRoom({step.step, index})) {
-      room->Hold(step.spec().Reserved());
-    }
-  }
-}
+void UrgentClaims::Hold(const StartCandidate& step) { HoldEach(step, step.spec().Reserved()); }
 
 void UrgentClaims::Release(const StartCandidate& step) {
+  HoldEach(step, Resources{} - step.spec().Reserved());
+}
+
+void UrgentClaims::HoldEach(const StartCandidate& step, const Resources& amount) {
   for (const std::uint32_t index : step.task_indexes) {
     if (WorkerRoom* room = LastRoom({step.step, index})) {
-      room->Hold(Resources{} - step.spec().Reserved());
+      room->Hold(amount);
     }
   }
 }
