Wait for the log's pipe with poll, and share what tests repeat

SlowReaderTest looked at its pipe every 5 ms; it waits in poll() now. The fixtures of two tests of clusters found the owner in the same way, and three tests of the planner marked stopped runs in the same loop.

--- a/tests/entry/caller_record_test.cc
+++ b/tests/entry/caller_record_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "entry/cluster_test.h"
 #include "standin/standin_cluster.h"
 
 namespace clementineloom::entry {
@@ -16,17 +17,12 @@
 constexpr int kUnavailable = 503;
 constexpr Milliseconds kRunTime{500};
 
-class CallerRecordTest : public testing::Test {
+class CallerRecordTest : public ClusterTest {
  protected:
   static std::string Job(int number) {
     const std::string digits = std::to_string(number);
     return std::string(16 - digits.size(), '0') + digits;
   }
-  static std::size_t Owner(const StandInCluster& cluster) {
-    const auto owner = cluster.OwnerIndex();
-    EXPECT_TRUE(owner.has_value());
-    return owner.value_or(0);
-  }
   // Two instances beside the owner.
   static std::pair<std::size_t, std::size_t> Others(std::size_t owner) {
     return {owner == 0 ? 1 : 0, owner == 2 ? 1 : 2};
--- /dev/null
+++ b/tests/entry/cluster_test.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+
+/// @brief What the tests of whole clusters share.
+class ClusterTest : public testing::Test {
+ protected:
+  // The instance that owns the workers; fails the test where there is none.
+  static std::size_t Owner(const standin::StandInCluster& cluster) {
+    const auto owner = cluster.OwnerIndex();
+    EXPECT_TRUE(owner.has_value());
+    return owner.value_or(0);
+  }
+};
+
+}  // namespace clementineloom::entry
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "entry/cluster_test.h"
 #include "standin/standin_cluster.h"
 
 namespace clementineloom::entry {
@@ -19,14 +20,8 @@
 constexpr Milliseconds kLongRunTime{12'000};
 constexpr int kOk = 200;
 
-class EntryClusterTest : public testing::Test {
+class EntryClusterTest : public ClusterTest {
  protected:
-  // The instance that owns the workers; fails the test where there is none.
-  static std::size_t Owner(const StandInCluster& cluster) {
-    const auto owner = cluster.OwnerIndex();
-    EXPECT_TRUE(owner.has_value());
-    return owner.value_or(0);
-  }
   static std::size_t Other(std::size_t instance) { return instance == 0 ? 1 : 0; }
 };
 
--- a/tests/logging/slow_reader_test.cc
+++ b/tests/logging/slow_reader_test.cc
@@ -1,5 +1,6 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -7,7 +8,6 @@
 #include <chrono>
 #include <filesystem>
 #include <string>
-#include <thread>
 
 #include "logging/event_log.h"
 
@@ -31,16 +31,20 @@
 
   // Reads until a text comes. Returns whether it came within some seconds.
   bool ReadUntil(const std::string& text) {
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    constexpr int kMaxWaitMs = 20'000;
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(kMaxWaitMs);
     std::array<char, 65'536> buf{};
     std::string all;
     while (all.find(text) == std::string::npos && std::chrono::steady_clock::now() < deadline) {
+      pollfd readable{reader_, POLLIN, 0};
+      if (poll(&readable, 1, kMaxWaitMs) <= 0) {
+        return false;
+      }
       const ssize_t count = read(reader_, buf.data(), buf.size());
-      if (count > 0) {
-        all.append(buf.data(), static_cast<std::size_t>(count));
-      } else {
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      if (count <= 0) {
+        return false;
       }
+      all.append(buf.data(), static_cast<std::size_t>(count));
     }
     return all.find(text) != std::string::npos;
   }
--- a/tests/workload/task_planner_test.cc
+++ b/tests/workload/task_planner_test.cc
@@ -49,6 +49,12 @@
       workers_[it.worker].Add(run);
     }
   }
+  // Lets the runs that a plan stops begin to end.
+  void BeginStops(const StartPlan& plan) {
+    for (const Preemption& it : plan.preemptions) {
+      workers_[it.worker].runs.at(it.run).stage = RunStage::kStopping;
+    }
+  }
 
   JobTable jobs_;
   WorkerPool workers_;
@@ -169,9 +175,7 @@
   Submit("bulk", Step(8, 1), 2);
   Carry(Plan());
   Submit("urgent", Step(1, 2), 0);
-  for (const Preemption& it : Plan().preemptions) {
-    workers_["w1"].runs.at(it.run).stage = RunStage::kStopping;
-  }
+  BeginStops(Plan());
   EXPECT_TRUE(Plan().preemptions.empty());
 }
 
@@ -206,9 +210,7 @@
   Submit("gang", gang, 0, 90'000);
   const StartPlan first = Plan();
   ASSERT_EQ(first.preemptions.size(), 2U);
-  for (const Preemption& it : first.preemptions) {
-    workers_[it.worker].runs.at(it.run).stage = RunStage::kStopping;
-  }
+  BeginStops(first);
   claims_ = first.claims;
   Submit("earlier", Step(1, 8), 0, 80'000);
   const StartPlan second = Plan();
@@ -256,9 +258,7 @@
   Submit("urgent", Step(1, 4), 0);
   const StartPlan plan = Plan();
   ASSERT_EQ(plan.preemptions.size(), 4U);
-  for (const Preemption& it : plan.preemptions) {
-    workers_["w1"].runs.at(it.run).stage = RunStage::kStopping;
-  }
+  BeginStops(plan);
   workers_["w1"].Remove(plan.preemptions[0].run);
   Submit("more", Step(4, 1), 2);
   EXPECT_TRUE(Plan().starts.empty());
