Log the way of ends from the lists to their acknowledgement

Nothing in the logs told whether an end was acknowledged before it was recorded, or in which life of the worker. Each step (listed, recorded, acknowledged) is now one line with the worker, its life, the position, the appends that wait and the epoch: one line for each batch of ends.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,9 @@
     RenewOrder order;
     order.fencing_token = core_.options.epoch;
     order.acknowledged_end = link.acknowledged_end;
+    if (order.acknowledged_end > link.sent_acknowledgement) {
+      LogEnds("ends_acknowledged", id, order.acknowledged_end);
+    }
     // A worker that does not answer gets no longer lease, so that its runs surely end some time.
     if (link.failures == 0) {
       order.lease_until_ms = link.lease.Grant(core_.options.lease, core_.port.Now());
@@ -176,8 +180,10 @@
       return;
     }
     link.is_recording_ends = true;
+    LogEnds("ends_listed", id, last_end);
     core_.AppendApplied(records, [this, id, last_end] {
       WorkerLink& stored = core_.links[id];
+      LogEnds("ends_recorded", id, last_end);
       stored.is_recording_ends = false;
       stored.acknowledged_end = std::max(stored.acknowledged_end, last_end);
       Poll(id);
@@ -185,6 +191,16 @@
     core_.plan_soon();
   }
 
+  // An acknowledgement ends a run for good: each step to it is logged with the life that it names.
+  void LogEnds(std::string_view event, const std::string& id, std::uint64_t last_end) const {
+    logging::LogEvent(logging::LogLevel::kInfo, event,
+                      {{"worker", id},
+                       {"life", core_.links.at(id).born_at_ms},
+                       {"end", last_end},
+                       {"unrecorded", core_.backlog()},
+                       {"epoch", core_.options.epoch}});
+  }
+
   void TakeRunning(const std::string& id, const RunningItem& item) {
     workload::PlacedRun* run = core_.FindRun(id, item.run);
     if (run == nullptr) {
