Keep what belongs to a worker's former life apart from the present one

A worker may begin another life under its id, with its counts, clock and memory of orders anew. The owner mixed the two in five ways: - the position of an append that was answered after the rebirth was written to the new life, which then forgot ends that nobody had read; - the last position was repeated with every call, also to a life that began unnoticed; - all runs were given up when lists named another life, also those that had been ordered after the rebirth and were in those very lists; - an entry of a former life that was read late ended the runs of the present one; - the end of the lease was forgotten with the clock, so that an order to start that had no answer counted as over at once.

Positions now belong to a life, and are sent once, to a worker that has just answered. The lists of the new life tell what runs there; an entry only ends runs that were listed in an earlier life. A run whose order may still arrive is refused by a stop first, because the new life does not remember it. An entry counts only if its life began later. After a rebirth leases count as lasting for the longest one.

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -26,6 +26,8 @@
   bool is_adopted = false;
   /// An order to start had no answer and may still be carried out.
   bool may_start_late = false;
+  /// Life of the worker whose lists last held the run; 0 before the first.
+  std::int64_t listed_in_life = 0;
   std::uint32_t priority = 0;
   /// Newest progress that the worker reported, or that the run resumed from.
   std::string checkpoint;
--- a/include/clementineloom/workload/worker_lease.h
+++ b/include/clementineloom/workload/worker_lease.h
@@ -15,7 +15,11 @@
   void OnClock(std::int64_t clock_ms, SteadyTime received_at);
 
   /// @brief Forgets the clock, when another life of the worker begins.
-  void Reset();
+  ///
+  /// That life may hold runs under a lease that was given on the former life's clock, which it
+  /// shortens to the longest one.
+  /// @param longest lease that the worker grants
+  void BeginLife(Milliseconds longest, SteadyTime now);
 
   /// @brief The end of a lease of a length from now on, on the worker's clock; nothing while that
   /// clock is not known. The caller sends it, so that it counts as granted.
@@ -31,6 +35,11 @@
   // For the kill after the end, and rounding.
   static constexpr Milliseconds kKillTime{250};
 
+  // The longest time that a span of the worker's clock may take.
+  [[nodiscard]] static Milliseconds Slowest(Milliseconds span);
+  // Notes that a lease may last until a moment.
+  void Extend(SteadyTime ended_at);
+
   std::optional<std::int64_t> clock_ms_;
   SteadyTime read_at_;
   std::optional<SteadyTime> surely_ended_at_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -332,7 +332,8 @@
     metrics_.Count(kTakeovers.name);
     options.instance = settings_.instance;
     options.epoch = epoch_;
-    options.lease = std::min(kLease, workload::Milliseconds{settings_.max_lease_ms} - kLeaseMargin);
+    options.max_lease = workload::Milliseconds{settings_.max_lease_ms};
+    options.lease = std::min(kLease, options.max_lease - kLeaseMargin);
     options.stop_timeout = workload::Milliseconds{settings_.stop_timeout_ms};
     options.gang_timeout = workload::Milliseconds{settings_.gang_timeout_ms};
     options.retention = std::chrono::seconds{settings_.state_retention_s};
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -61,15 +61,10 @@
   /// @brief A worker registered or changed its entry.
   void OnWorker(const workload::WorkerInfo& info) {
     workload::PoolWorker& worker = core_.workers[info.id];
-    WorkerLink& link = core_.links[info.id];
-    const bool is_new_life =
-        link.born_at_ms != 0 && info.born_at_ms != 0 && info.born_at_ms != link.born_at_ms;
     worker.info = info;
     worker.is_listed = true;
     drain_moves_.OnWorker(info);
-    if (is_new_life) {
-      poller_.BeginLife(info.id, info.born_at_ms);
-    }
+    poller_.OnEntry(info.id, info.born_at_ms);
     if (!worker.is_attached) {
       poller_.Poll(info.id);
     }
--- a/src/entry/owner/owner_options.h
+++ b/src/entry/owner/owner_options.h
@@ -14,6 +14,8 @@
   std::uint64_t epoch = 0;
   /// Length of the leases that are granted.
   workload::Milliseconds lease{5'500};
+  /// Longest lease that workers grant; they shorten longer ones.
+  workload::Milliseconds max_lease{6'000};
   /// Longest time that a worker takes to stop a run.
   workload::Milliseconds stop_timeout{1'000};
   /// Time that the members of a gang wait for each other.
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -53,11 +53,25 @@
     }
   }
 
-  /// @brief Ends and records all runs of a worker whose lease or life is over.
+  /// @brief Ends and records all runs of a worker whose lease is over.
   void LoseRuns(const std::string& id, std::string_view reason) {
+    LoseRunsWhere(id, reason, [](const workload::PlacedRun&) { return true; });
+  }
+
+  /// @brief Ends and records the runs of a worker whose life is over. Orders that may reach the
+  /// present life, and runs of it, are left to its lists.
+  void LoseRunsOfFormerLife(const std::string& id, std::int64_t born_at_ms) {
+    LoseRunsWhere(id, "the worker started anew", [&](const workload::PlacedRun& it) {
+      return it.listed_in_life != 0 && it.listed_in_life != born_at_ms && !it.may_start_late;
+    });
+  }
+
+ private:
+  template <class Predicate>
+  void LoseRunsWhere(const std::string& id, std::string_view reason, Predicate is_lost) {
     std::vector<workload::PlacedRun> lost;
     for (const auto& [run, placed] : core_.workers[id].runs) {
-      if (placed.stage != workload::RunStage::kRecording) {
+      if (placed.stage != workload::RunStage::kRecording && is_lost(placed)) {
         lost.push_back(placed);
       }
     }
@@ -74,7 +88,6 @@
     core_.plan_soon();
   }
 
- private:
   void OnJobEnded(const std::string& job, workload::JobState state) {
     core_.metrics.Count(kJobsEnded.name, kJobsEnded.label, workload::JobStateName(state));
     const workload::JobEntry* entry = core_.jobs.Find(job);
--- a/src/entry/owner/worker_link.h
+++ b/src/entry/owner/worker_link.h
@@ -24,6 +24,9 @@
   std::uint32_t failures = 0;
   /// Life of the worker that the lists belong to.
   std::int64_t born_at_ms = 0;
+  /// Lives of the worker that began under this owner, and when it learnt of the last one.
+  std::uint32_t rebirths = 0;
+  workload::SteadyTime life_began_at;
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -28,7 +28,7 @@
     WorkerLink& link = core_.links[start.worker];
     const auto lease_until = link.lease.Grant(core_.options.lease, core_.port.Now());
     if (!lease_until) {
-      NotStarted(start.worker, start.run.run, "the worker's clock is not known");
+      OnClockUnknown(start);
       return;
     }
     const workload::JobEntry* job = core_.jobs.Find(start.run.run.task.step.job);
@@ -55,6 +55,16 @@
     SendStop(worker, run);
   }
 
+  /// @brief Makes a worker that began another life refuse a run that was ordered in a former one:
+  /// the new life remembers neither the run nor a stop of it.
+  /// Precondition: the run holds room on the worker.
+  void RefuseInNewLife(const std::string& worker, const workload::TaskRun& run) {
+    workload::PlacedRun* placed = core_.FindRun(worker, run);
+    placed->stage = workload::RunStage::kStopping;
+    placed->confirmed_at = workload::SteadyTime::max();
+    SendStop(worker, run);
+  }
+
   /// @brief Stops a run that works, and with it its gang, for a reason of the scheduler's own.
   /// @param cause as metrics show it
   void StopEarly(const std::string& worker, const workload::TaskRun& run, std::string_view cause) {
@@ -82,6 +92,16 @@
  private:
   static constexpr workload::Milliseconds kOrderRetryDelay{300};
 
+  // Another life of the worker began, and has not answered yet.
+  void OnClockUnknown(const workload::PlannedStart& start) {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    if (run != nullptr && run->may_start_late) {
+      RetryStart(start);
+    } else {
+      NotStarted(start.worker, start.run.run, "the worker's clock is not known");
+    }
+  }
+
   void OnStartAnswer(const workload::PlannedStart& start, const OrderAnswer& answer) {
     workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
     if (run == nullptr || run->stage != workload::RunStage::kStarting) {
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -57,8 +57,8 @@
     link.is_polling = true;
     RenewOrder order;
     order.fencing_token = core_.options.epoch;
-    order.acknowledged_end = link.acknowledged_end;
-    if (order.acknowledged_end > link.sent_acknowledgement) {
+    if (MayAcknowledge(link)) {
+      order.acknowledged_end = link.acknowledged_end;
       LogEnds("ends_acknowledged", id, order.acknowledged_end);
     }
     // A worker that does not answer gets no longer lease, so that its runs surely end some time.
@@ -77,15 +77,13 @@
                         const net::ClientResult& result) { OnLists(id, sent_at, ack, result); }));
   }
 
-  /// @brief Another life of a worker began: all that an earlier one ran is gone with it.
-  void BeginLife(const std::string& id, std::int64_t born_at_ms) {
-    ends_.LoseRuns(id, "the worker started anew");
-    WorkerLink& link = core_.links[id];
-    link.lease.Reset();
-    link.acknowledged_end = 0;
-    link.sent_acknowledgement = 0;
-    link.born_at_ms = born_at_ms;
-    core_.workers[id].is_attached = false;
+  /// @brief An entry of a worker names a life. An entry of a former life may be read late.
+  void OnEntry(const std::string& id, std::int64_t born_at_ms) {
+    const WorkerLink& link = core_.links[id];
+    if (link.born_at_ms != 0 && born_at_ms > link.born_at_ms) {
+      BeginLife(id, born_at_ms);
+      ends_.LoseRunsOfFormerLife(id, born_at_ms);
+    }
   }
 
  private:
@@ -99,11 +97,39 @@
   static constexpr workload::Milliseconds kPollRetryDelay{200};
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
   static constexpr std::uint32_t kUrgentPolls = 30;
+  // A worker that answered within this time is in the same life: none restarts and ends a run
+  // sooner.
+  static constexpr workload::Milliseconds kLifeKnown{500};
 
   static workload::Milliseconds PollTimeout(const RenewOrder& order) {
     return workload::Milliseconds(order.wait_ms) + kPollSlack;
   }
 
+  // A position belongs to the life whose ends were listed; another life would forget ends of its
+  // own that nobody has read.
+  [[nodiscard]] bool MayAcknowledge(const WorkerLink& link) const {
+    return link.acknowledged_end > link.sent_acknowledgement && link.failures == 0 &&
+           core_.port.Now() - link.answered_at <= kLifeKnown;
+  }
+
+  // Another life of a worker began. Which of the runs are there is told by its lists.
+  void BeginLife(const std::string& id, std::int64_t born_at_ms) {
+    WorkerLink& link = core_.links[id];
+    logging::LogEvent(logging::LogLevel::kInfo, "worker_life_began",
+                      {{"worker", id},
+                       {"former", link.born_at_ms},
+                       {"life", born_at_ms},
+                       {"runs", core_.workers[id].runs.size()},
+                       {"epoch", core_.options.epoch}});
+    link.lease.BeginLife(core_.options.max_lease, core_.port.Now());
+    link.acknowledged_end = 0;
+    link.sent_acknowledgement = 0;
+    link.born_at_ms = born_at_ms;
+    ++link.rebirths;
+    link.life_began_at = core_.port.Now();
+    core_.workers[id].is_attached = false;
+  }
+
   void OnLists(const std::string& id, workload::SteadyTime sent_at, std::uint64_t ack,
                const net::ClientResult& result) {
     WorkerLink& link = core_.links[id];
@@ -125,14 +151,21 @@
       return;
     }
     link.failures = 0;
-    link.answered_at = core_.port.Now();
-    link.sent_acknowledgement = std::max(link.sent_acknowledgement, ack);
-    link.lease.OnClock(lists->clock_ms, core_.port.Now());
     const std::int64_t born = lists->born_at_ms.value_or(worker.info.born_at_ms);
-    if (link.born_at_ms != 0 && born != 0 && born != link.born_at_ms) {
+    const bool is_other_life = link.born_at_ms != 0 && born != 0 && born != link.born_at_ms;
+    if (is_other_life && sent_at <= link.life_began_at) {
+      // A former life answered before it ended.
+      Poll(id);
+      return;
+    }
+    if (is_other_life) {
       BeginLife(id, born);
+    } else {
+      link.sent_acknowledgement = std::max(link.sent_acknowledgement, ack);
     }
     link.born_at_ms = born;
+    link.answered_at = core_.port.Now();
+    link.lease.OnClock(lists->clock_ms, core_.port.Now());
     if (!worker.is_attached) {
       worker.is_attached = true;
       logging::LogEvent(logging::LogLevel::kInfo, "worker_attached",
@@ -181,16 +214,23 @@
     }
     link.is_recording_ends = true;
     LogEnds("ends_listed", id, last_end);
-    core_.AppendApplied(records, [this, id, last_end] {
-      WorkerLink& stored = core_.links[id];
-      LogEnds("ends_recorded", id, last_end);
-      stored.is_recording_ends = false;
-      stored.acknowledged_end = std::max(stored.acknowledged_end, last_end);
-      Poll(id);
+    core_.AppendApplied(records, [this, id, last_end, rebirths = link.rebirths] {
+      OnEndsRecorded(id, last_end, rebirths);
     });
     core_.plan_soon();
   }
 
+  // @param rebirths of the worker when it listed the ends
+  void OnEndsRecorded(const std::string& id, std::uint64_t last_end, std::uint32_t rebirths) {
+    WorkerLink& link = core_.links[id];
+    LogEnds("ends_recorded", id, last_end);
+    link.is_recording_ends = false;
+    if (link.rebirths == rebirths) {
+      link.acknowledged_end = std::max(link.acknowledged_end, last_end);
+    }
+    Poll(id);
+  }
+
   // An acknowledgement ends a run for good: each step to it is logged with the life that it names.
   void LogEnds(std::string_view event, const std::string& id, std::uint64_t last_end) const {
     logging::LogEvent(logging::LogLevel::kInfo, event,
@@ -212,6 +252,7 @@
                       OwnerTiming::kOrderTimeout, [](const net::ClientResult&) {});
       return;
     }
+    run->listed_in_life = core_.links[id].born_at_ms;
     if (!item.checkpoint.empty()) {
       run->checkpoint = item.checkpoint;
     }
@@ -265,8 +306,13 @@
         missing.push_back(placed);
       }
     }
+    const workload::SteadyTime life_began_at = core_.links[id].life_began_at;
     for (const workload::PlacedRun& it : missing) {
-      ends_.TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
+      if (it.may_start_late && it.confirmed_at < life_began_at) {
+        orders_.RefuseInNewLife(id, it.run);
+      } else {
+        ends_.TakeEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
+      }
     }
   }
 
--- /dev/null
+++ b/tests/entry/worker_life_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "entry/cluster_test.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kTask = "00000000000000a1.0.0.0";
+constexpr const char* kOtherJob = "00000000000000a2";
+constexpr const char* kOtherTask = "00000000000000a2.0.0.0";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr const char* kFourTasks = R"([{"count":4,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr Milliseconds kRunTime{1'000};
+constexpr Milliseconds kLongRunTime{12'000};
+constexpr int kOk = 200;
+
+// A worker that begins another life under its id.
+class WorkerLifeTest : public ClusterTest {};
+
+// Guards against the position of a former life that was sent to the new one after its append was
+// answered: the worker forgot ends that nobody had read, and their tasks ran again.
+TEST_F(WorkerLifeTest, Worker_RebornWhileItsEndsAreRecorded_GetsNoPositionOfItsFormerLife) {
+  StandInCluster cluster(1, 1, kRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(900));
+  cluster.store.DelayAppendsOf("owner", Milliseconds(800));
+  cluster.RunFor(Milliseconds(300));
+  cluster.workers[0]->Restart();
+  cluster.Register(*cluster.workers[0]);
+  cluster.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster.workers[0]->unlisted_acknowledgements(), 0);
+}
+
+// Guards against a position that is sent again to a worker that began a new life unnoticed: ends of
+// that life would be forgotten unread.
+TEST_F(WorkerLifeTest, Worker_RebornUnnoticed_GetsNoPositionOfItsFormerLife) {
+  StandInCluster cluster(1, 1, kRunTime);
+  EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.workers[0]->Restart();
+  EXPECT_EQ(cluster.Submit(0, kOtherJob, kOneTask)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kOtherJob, "completed", Milliseconds(4'000)));
+  EXPECT_EQ(cluster.workers[0]->unlisted_acknowledgements(), 0);
+  EXPECT_EQ(cluster.StartsOf(kOtherTask), 1);
+}
+
+// Guards against two runs of one task: a start that reached a new life before the owner knew of it
+// was given up together with the former life.
+TEST_F(WorkerLifeTest, Start_OnAWorkerRebornUnnoticed_RunsOnce) {
+  StandInCluster cluster(2, 2, kLongRunTime);
+  cluster.workers[0]->Restart();
+  cluster.workers[1]->Restart();
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  cluster.Register(*cluster.workers[0]);
+  cluster.Register(*cluster.workers[1]);
+  cluster.RunFor(Milliseconds(4'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against two runs of one task: an entry of a former life that was read late ended the runs
+// of the present one.
+TEST_F(WorkerLifeTest, Entry_OfAFormerLifeReadLate_EndsNoRunOfTheNewOne) {
+  StandInCluster cluster(2, 2, kLongRunTime);
+  const std::string former = cluster.workers[0]->Entry("ready", 1);
+  cluster.workers[1]->FailAll("failed");
+  cluster.workers[0]->Restart();
+  cluster.Register(*cluster.workers[0]);
+  cluster.Unregister(*cluster.workers[1]);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  cluster.store.Put("keyed.servers", cluster.workers[0]->id(), former);
+  cluster.Register(*cluster.workers[1]);
+  cluster.RunFor(Milliseconds(1'500));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.doubled.empty());
+}
+
+// Guards against two runs of one task: an order to start without an answer is repeated at the new
+// life of its worker, and must not be given up meanwhile.
+TEST_F(WorkerLifeTest, Start_WithoutAnswerAcrossARebirth_RunsOnOneWorkerAtATime) {
+  StandInCluster cluster(2, 2, kLongRunTime);
+  const std::size_t owner = Owner(cluster);
+  cluster.port(owner).LoseAnswersOf("/run-start");
+  EXPECT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(100));
+  for (const auto& it : cluster.workers) {
+    it->Restart();
+    cluster.Register(*it);
+  }
+  cluster.RunFor(Milliseconds(3'000));
+  cluster.port(owner).Heal({});
+  cluster.RunFor(Milliseconds(3'000));
+  EXPECT_TRUE(cluster.doubled.empty());
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -49,10 +49,13 @@
 
 void StandInWorker::Restart() {
   running_.clear();
+  // Calls that wait break off with the process.
+  waiters_.clear();
   ended_.clear();
   highest_ended_.clear();
   token_ = 0;
   last_end_ = 0;
+  last_listed_end_ = 0;
   acknowledged_ = 0;
   lease_until_ms_ = 0;
   born_ms_ = world_.ElapsedMs();
@@ -122,8 +125,11 @@
   const auto rest = run_time_ * (kWhole - started.resumed_percent) / kWhole;
   running_[task] = std::move(started);
   ++starts_[task];
-  world_.After(
-      rest, [this, task, run] { Finish(task, run, forced_end_.empty() ? "done" : forced_end_); });
+  world_.After(rest, [this, task, run, life = born_ms_] {
+    if (life == born_ms_) {
+      Finish(task, run, forced_end_.empty() ? "done" : forced_end_);
+    }
+  });
   return Json(200, {{"clockMs", ClockMs()}});
 }
 
@@ -176,8 +182,7 @@
   if (body.contains("deadlineMs")) {
     ExtendLease(body.at("deadlineMs").to_number<std::int64_t>());
   }
-  acknowledged_ = std::max(acknowledged_, Unsigned(body, "ackPosition"));
-  std::erase_if(ended_, [this](const End& it) { return it.number <= acknowledged_; });
+  Forget(Unsigned(body, "ackPosition"));
   const std::uint64_t wait_ms = Unsigned(body, "waitMs");
   if (!ended_.empty() || wait_ms == 0) {
     reply(Lists());
@@ -192,6 +197,12 @@
   });
 }
 
+void StandInWorker::Forget(std::uint64_t acknowledged) {
+  unlisted_acknowledgements_ += acknowledged > last_listed_end_ ? 1 : 0;
+  acknowledged_ = std::max(acknowledged_, acknowledged);
+  std::erase_if(ended_, [this](const End& it) { return it.number <= acknowledged_; });
+}
+
 void StandInWorker::Finish(const std::string& task, std::uint64_t run, const std::string& how) {
   const auto it = running_.find(task);
   if (it == running_.end() || it->second.run != run) {
@@ -217,7 +228,7 @@
   return saves_checkpoints_ ? std::to_string(PercentOf(run)) : std::string();
 }
 
-net::HttpResponse StandInWorker::Lists() const {
+net::HttpResponse StandInWorker::Lists() {
   json::array running;
   for (const auto& [task, run] : running_) {
     running.push_back(
@@ -225,6 +236,7 @@
   }
   json::array ended;
   for (const End& it : ended_) {
+    last_listed_end_ = it.number;
     ended.push_back(json::array{it.number, it.task, it.run, it.how, it.saved});
   }
   return Json(200, {{"clockMs", ClockMs()},
--- a/tests/standin/standin_worker.h
+++ b/tests/standin/standin_worker.h
@@ -47,6 +47,8 @@
   [[nodiscard]] const std::map<std::string, int>& starts() const { return starts_; }
   /// @brief Ends up to this number were acknowledged.
   [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_; }
+  /// @brief Acknowledgements beyond the ends that this life had listed in an answer.
+  [[nodiscard]] int unlisted_acknowledgements() const { return unlisted_acknowledgements_; }
 
  private:
   struct End {
@@ -72,7 +74,8 @@
   void Hold(const net::HttpRequest& request, SimWorld::Reply reply);
   void Finish(const std::string& task, std::uint64_t run, const std::string& how);
   void ExpireLease();
-  [[nodiscard]] net::HttpResponse Lists() const;
+  void Forget(std::uint64_t acknowledged);
+  [[nodiscard]] net::HttpResponse Lists();
   [[nodiscard]] std::int64_t PercentOf(const StandInRun& run) const;
   [[nodiscard]] std::string CheckpointOf(const StandInRun& run) const;
   [[nodiscard]] std::int64_t ClockMs() const { return world_.ElapsedMs() - born_ms_; }
@@ -91,12 +94,14 @@
   std::uint64_t token_ = 0;
   std::int64_t lease_until_ms_ = 0;
   std::uint64_t last_end_ = 0;
+  std::uint64_t last_listed_end_ = 0;
   std::uint64_t acknowledged_ = 0;
   std::map<std::string, StandInRun> running_;
   std::map<std::string, std::uint64_t> highest_ended_;
   std::vector<End> ended_;
   std::list<std::shared_ptr<Waiter>> waiters_;
   std::map<std::string, int> starts_;
+  int unlisted_acknowledgements_ = 0;
 };
 
 }  // namespace clementineloom::standin
