Begin an ownership only once all records before the claim are read

Callers saw a job that had completed run again under the next owner. The page with the owner's key may hold this instance's claim while records of the former owner, between the end that the load noted and the claim, have not been read. Ownership began with the next answer to a read, however short it was: without the end of a job, whose key had been loaded before it was stored, the job was placed anew.

The offset of the newest owner's record is kept now, and ownership begins when the follower's next record lies beyond it. Then every record of an earlier owner has been applied, however the claim was seen first, and none can follow.

The stand-in store learns what the test needs: appends that get no answer and are carried out later, pages and reads of a set size, pages that come after a pause, and only the last five repeats of a writer.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -182,10 +182,9 @@
                       {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
   }
 
-  // A load may hold the claim without the records before it; the batches after it are in order.
   void OnJobBatch(const std::vector<TopicItem>& items) {
     OnJobItems(items);
-    if (owner_ == nullptr && !is_stopping_ && HoldsClaim()) {
+    if (owner_ == nullptr && !is_stopping_ && HoldsClaim() && HasReadUpToOwner()) {
       BecomeOwner();
     }
   }
@@ -194,7 +193,7 @@
     election_.OnRead(port_.Now());
     bool has_job_changes = false;
     for (const TopicItem& it : items) {
-      has_job_changes = TakeJobRecord(it.item) || has_job_changes;
+      has_job_changes = TakeJobRecord(it) || has_job_changes;
     }
     UpdateReady();
     if (owner_ != nullptr && has_job_changes) {
@@ -203,10 +202,10 @@
   }
 
   // Returns whether the record is of the kinds that callers cause.
-  bool TakeJobRecord(const workload::KeyedValue& item) {
+  bool TakeJobRecord(const TopicItem& item) {
     const auto record = CatchRefusal(
         [&]() -> Result<std::optional<workload::WorkloadRecord>> {
-          BOOST_LEAF_AUTO(decoded, codec::DecodeWorkloadRecord(item));
+          BOOST_LEAF_AUTO(decoded, codec::DecodeWorkloadRecord(item.item));
           return std::optional(std::move(decoded));
         },
         [](const Refusal& refusal) {
@@ -226,7 +225,7 @@
       return false;
     }
     if (const auto* set = std::get_if<workload::OwnerSet>(&*record)) {
-      TakeOwner(set->owner);
+      TakeOwner(set->owner, item.offset);
       return false;
     }
     const bool is_of_callers = std::holds_alternative<workload::SubmissionSet>(*record) ||
@@ -237,8 +236,11 @@
     return is_of_callers;
   }
 
-  void TakeOwner(const workload::OwnerRecord& owner) {
+  void TakeOwner(const workload::OwnerRecord& owner, std::uint64_t offset) {
     election_.OnOwner(owner, port_.Now());
+    if (election_.owner() == owner) {
+      owner_offset_ = offset;
+    }
     if (owner_ != nullptr && owner.epoch > epoch_ && epoch_ != 0) {
       OnOwnershipLost();
     }
@@ -319,6 +321,12 @@
     return epoch_ != 0 && election_.owner() == mine;
   }
 
+  // Whether the records before the newest owner's record were read as well: a page of a load may
+  // hold it without them.
+  [[nodiscard]] bool HasReadUpToOwner() const {
+    return jobs_follower_.next_offset() > owner_offset_;
+  }
+
   // Precondition: all records up to the claim were read.
   void BecomeOwner() {
     logging::LogEvent(logging::LogLevel::kInfo, "ownership_taken",
@@ -395,6 +403,8 @@
   std::unique_ptr<WorkerDirectory<Platform, Port>> directory_;
   // Epoch of the last claim; 0 after it was lost.
   std::uint64_t epoch_ = 0;
+  // Of the newest owner's record.
+  std::uint64_t owner_offset_ = 0;
   // Sets this instance's epochs apart from others'; drawn anew for each claim, in case two agree.
   std::uint64_t nonce_ = seed_;
   bool has_store_ = false;
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -66,11 +66,33 @@
   } else if (path == "/log-read") {
     Read(request.target, std::move(reply));
   } else {
-    reply(Newest(request.target));
+    SendPage(request.target, reply);
+  }
+}
+
+bool StandInStore::Hold(const net::HttpRequest& request) {
+  const std::string producer = TextOf(request.target, "producer");
+  const auto it = std::find_if(
+      held_producers_.begin(), held_producers_.end(),
+      [&](const auto& entry) { return entry.second > 0 && producer.starts_with(entry.first); });
+  if (it == held_producers_.end()) {
+    return false;
+  }
+  --it->second;
+  held_.push_back({request.target, request.body});
+  return true;
+}
+
+void StandInStore::CarryOutHeld() {
+  for (const HeldAppend& it : std::exchange(held_, {})) {
+    Append(it.target, it.body, [](const net::HttpResponse&) {});
   }
 }
 
 void StandInStore::AppendInTime(const net::HttpRequest& request, const SimWorld::Reply& reply) {
+  if (Hold(request)) {
+    return;
+  }
   const std::string producer = TextOf(request.target, "producer");
   const auto slow = std::find_if(slow_producers_.begin(), slow_producers_.end(),
                                  [&](const auto& it) { return producer.starts_with(it.first); });
@@ -120,6 +142,9 @@
   }
   producer.next = sequence + 1;
   producer.offsets[sequence] = offset;
+  if (producer.offsets.size() > kKnownRepeats) {
+    producer.offsets.erase(producer.offsets.begin());
+  }
   const auto batch = adapter::DecodeBatch(BigEndian(0) + BigEndian(0) + body, offset);
   std::vector<workload::KeyedValue> items;
   for (const entry::TopicItem& it : batch->items) {
@@ -154,8 +179,15 @@
                });
 }
 
+void StandInStore::SendPage(const std::string& target, const SimWorld::Reply& reply) {
+  if (page_delay_.count() == 0 || TextOf(target, "dependsOn").empty()) {
+    reply(Newest(target));
+    return;
+  }
+  world_.After(page_delay_, [this, target, reply] { reply(Newest(target)); });
+}
+
 net::HttpResponse StandInStore::Newest(const std::string& target) {
-  constexpr std::size_t kPage = 500;
   const Topic& topic = topics_[TextOf(target, "topic")];
   std::map<std::string, std::uint64_t> newest;
   for (std::uint64_t offset = 0; offset < topic.records.size(); ++offset) {
@@ -168,7 +200,7 @@
     if (record.value.empty()) {
       continue;
     }
-    if (items.size() == kPage) {
+    if (items.size() == page_keys_) {
       has_more = true;
       break;
     }
@@ -191,8 +223,9 @@
 }
 
 net::HttpResponse StandInStore::Batch(const Topic& topic, std::uint64_t from) const {
-  const std::vector<workload::KeyedValue> items(
-      topic.records.begin() + static_cast<std::ptrdiff_t>(from), topic.records.end());
+  const std::size_t count = std::min(topic.records.size() - from, batch_records_);
+  const auto begin = topic.records.begin() + static_cast<std::ptrdiff_t>(from);
+  const std::vector<workload::KeyedValue> items(begin, begin + static_cast<std::ptrdiff_t>(count));
   return {200,
           {},
           BigEndian(topic.records.size()) + BigEndian(topic.first) + adapter::EncodeRecords(items)};
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -48,6 +49,19 @@
   void SlowDown(workload::Milliseconds delay) { delay_ = delay; }
   /// @brief So many of the next appends are carried out and get no answer.
   void LoseAppendAnswers(int count) { lost_appends_ = count; }
+  /// @brief So many of the next appends of producers whose names begin so get no answer, and are
+  /// carried out, as far as their conditions hold then, by CarryOutHeld.
+  void HoldAppendsOf(const std::string& prefix, int count) { held_producers_[prefix] = count; }
+  /// @brief Carries out the appends that were held, in the order in which they came.
+  void CarryOutHeld();
+  [[nodiscard]] std::size_t held_appends() const { return held_.size(); }
+  /// @brief Cuts loads into pages of so many keys; each after the first comes after a while.
+  void CutPages(std::size_t keys, workload::Milliseconds delay) {
+    page_keys_ = keys;
+    page_delay_ = delay;
+  }
+  /// @brief Cuts reads into answers of so many records.
+  void CutBatches(std::size_t records) { batch_records_ = records; }
   /// @brief Forgets the records before the end of a topic; the newest of each key stay.
   void Compact(const std::string& topic) { topics_[topic].first = End(topic); }
 
@@ -59,15 +73,23 @@
   }
 
  private:
+  // Repeats of older appends are no longer known.
+  static constexpr std::size_t kKnownRepeats = 5;
+
   struct Producer {
     std::uint64_t epoch = 0;
     std::uint64_t next = 0;
+    // Of the last appends, by sequence number.
     std::map<std::uint64_t, std::uint64_t> offsets;
   };
   struct SlowProducer {
     bool is_refused = false;
     workload::Milliseconds delay{0};
   };
+  struct HeldAppend {
+    std::string target;
+    std::string body;
+  };
   struct Waiter {
     std::uint64_t from = 0;
     SimWorld::Reply reply;
@@ -82,10 +104,13 @@
 
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
   void Serve(const net::HttpRequest& request, SimWorld::Reply reply);
+  // Whether an append is kept to be carried out later.
+  bool Hold(const net::HttpRequest& request);
   // Carries an append out, or delays or refuses it for its producer.
   void AppendInTime(const net::HttpRequest& request, const SimWorld::Reply& reply);
   void Append(const std::string& target, const std::string& body, const SimWorld::Reply& reply);
   void Read(const std::string& target, SimWorld::Reply reply);
+  void SendPage(const std::string& target, const SimWorld::Reply& reply);
   [[nodiscard]] net::HttpResponse Newest(const std::string& target);
   void Add(const std::string& topic, const std::vector<workload::KeyedValue>& items);
   [[nodiscard]] net::HttpResponse Batch(const Topic& topic, std::uint64_t from) const;
@@ -94,6 +119,11 @@
   std::map<std::string, Topic> topics_;
   // By the beginning of their names.
   std::map<std::string, SlowProducer> slow_producers_;
+  std::map<std::string, int> held_producers_;
+  std::vector<HeldAppend> held_;
+  std::size_t page_keys_ = 500;
+  workload::Milliseconds page_delay_{0};
+  std::size_t batch_records_ = 10'000;
   bool refuses_ = false;
   bool refuses_appends_ = false;
   workload::Milliseconds delay_{0};
