Claim no ownership while the topic is being loaded

An instance whose next records had expired loads the topic again. It sees no sign of the owner meanwhile, and counted as loaded all the same: a load longer than the silence of a dead owner ended in a claim that fenced an owner at work. Nothing ran twice by it, but starts and answers waited for the takeover.

The new test loads for 2 s beside an owner that works. On the code before:

claim_during_load_test.cc: cluster_.OwnerIndex() Which is: 0, expected 1

Claims are made only while records are read as they come. After a load the owner's newest record counts as its sign, as before. Readiness is not changed: an instance goes on serving what it knows during such a load.

37 tests of entry pass as before, among them the new one.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -268,7 +268,7 @@
   void CheckElection() {
     UpdateReady();
     ShowState();
-    if (owner_ == nullptr && !is_claiming_ && !is_stopping_ && jobs_follower_.is_loaded() &&
+    if (owner_ == nullptr && !is_claiming_ && !is_stopping_ && jobs_follower_.is_reading() &&
         election_.MayClaim(port_.Now())) {
       Claim();
     }
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -42,8 +42,8 @@
   /// @brief Begins to load. Call once.
   void Start() { LoadPage({}); }
 
-  /// @brief Whether the whole topic was loaded once.
-  [[nodiscard]] bool is_loaded() const { return is_loaded_; }
+  /// @brief Whether new records are read as they come: not during a load, in which none is seen.
+  [[nodiscard]] bool is_reading() const { return is_loaded_ && !is_loading_; }
 
   /// @brief When the store last answered a read; the view holds all that was stored before the
   /// read was sent.
@@ -72,6 +72,7 @@
   static constexpr workload::Milliseconds kMaxRetryDelay{800};
 
   void LoadPage(const std::string& after_key) {
+    is_loading_ = true;
     if (after_key.empty()) {
       loaded_.clear();
     }
@@ -108,6 +109,7 @@
     }
     next_offset_ = load_end_;
     is_loaded_ = true;
+    is_loading_ = false;
     must_reload_ = false;
     const auto alive = life_.watch();
     sink_.on_reload(loaded_);
@@ -206,6 +208,7 @@
   std::map<std::string, std::uint64_t> newer_;
   std::uint64_t next_offset_ = 0;
   bool is_loaded_ = false;
+  bool is_loading_ = false;
   bool must_reload_ = false;
   std::uint32_t failures_ = 0;
   std::optional<workload::SteadyTime> last_read_at_;
--- a/tests/entry/claim_during_load_test.cc
+++ b/tests/entry/claim_during_load_test.cc
@@ -79,5 +79,13 @@
   EXPECT_EQ(cluster_.StartsOf(kTask), 1);
 }
 
+// Guards against a claim beside a living owner, whose signs a load does not show.
+TEST_F(ClaimDuringLoadTest, Load_LongerThanTheSilenceOfADeadOwner_ClaimsNothing) {
+  MakeOtherLoad();
+  cluster_.RunFor(Milliseconds(4'000));
+  EXPECT_EQ(cluster_.OwnerIndex(), owner_);
+  EXPECT_EQ(cluster_.OwnerCount(), 1);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
