Say that a job is not there only from a view that is complete

Callers of a started instance were told 410 for jobs that had been accepted long before: the age of the view was taken from any answer of the store, that is also from a page of a load that had not ended, and from a read that gave a part of the records only. The same held after an ownership was lost, while the owner's table was being replaced.

Two new tests ask during a load of several pages, and while reads lag behind the end of the topic. On the code before:

view_load_test.cc: (answer->status) != (kGone), actual: 410 vs 410 (12 of 30 requests during the load, and while reads lag)

The view's moment is now that of the first page, once the load has ended, and that of a read that reached the end of the topic; there is none while the topic has to be loaded anew. A request for a job that is not known meanwhile is handed to a peer with a newer view, as it is for an old view already.

39 tests of entry pass, the two new ones among them.

--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -45,8 +45,7 @@
   /// @brief Whether new records are read as they come: not during a load, in which none is seen.
   [[nodiscard]] bool is_reading() const { return is_loaded_ && !is_loading_; }
 
-  /// @brief When the store last answered a read; the view holds all that was stored before the
-  /// read was sent.
+  /// @brief The view holds all that was stored before this moment; nothing before the first load.
   [[nodiscard]] std::optional<workload::SteadyTime> last_read_at() const { return last_read_at_; }
 
   /// @brief Whether the last read or load succeeded.
@@ -62,6 +61,7 @@
   void Reload() {
     must_reload_ = true;
     is_loaded_ = false;
+    last_read_at_.reset();
   }
 
  private:
@@ -91,6 +91,7 @@
     NoteSuccess();
     if (after_key.empty()) {
       load_end_ = page->end_offset;
+      load_began_at_ = port_.Now();
     }
     std::move(page->items.begin(), page->items.end(), std::back_inserter(loaded_));
     if (page->has_more && !loaded_.empty()) {
@@ -108,6 +109,7 @@
       }
     }
     next_offset_ = load_end_;
+    last_read_at_ = load_began_at_;
     is_loaded_ = true;
     is_loading_ = false;
     must_reload_ = false;
@@ -152,6 +154,9 @@
     if (has_records) {
       next_offset_ = batch->items.back().offset + 1;
     }
+    if (next_offset_ >= batch->end_offset) {
+      last_read_at_ = port_.Now();
+    }
     DropOlder(batch->items);
     const auto alive = life_.watch();
     sink_.on_items(batch->items);
@@ -178,7 +183,6 @@
   }
 
   void NoteSuccess() {
-    last_read_at_ = port_.Now();
     if (failures_ > 0) {
       logging::LogEvent(logging::LogLevel::kInfo, "topic_regained",
                         {{"topic", endpoint_.topic}, {"failures", failures_}});
@@ -204,6 +208,8 @@
   const Sink sink_;
   Items loaded_;
   std::uint64_t load_end_ = 0;
+  // When the store answered with the first page.
+  workload::SteadyTime load_began_at_;
   // Keys that the load gave newer than the end that was noted before it.
   std::map<std::string, std::uint64_t> newer_;
   std::uint64_t next_offset_ = 0;
--- /dev/null
+++ b/tests/entry/view_load_test.cc
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "entry/cluster_test.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kJobPath = "/urgent/00000000000000a1";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":1}])";
+constexpr Milliseconds kRunTime{60'000};
+constexpr Milliseconds kPageDelay{300};
+// An older view does not say that a job is not there.
+constexpr Milliseconds kMaxViewAge{2'400};
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+
+class ViewLoadTest : public ClusterTest {};
+
+// Guards against a job that is said not to exist by an instance that has read one page of several.
+TEST_F(ViewLoadTest, Show_WhileAStartedInstanceLoads_DeniesNoAcceptedJob) {
+  StandInCluster cluster(2, 1, kRunTime);
+  const std::size_t owner = Owner(cluster);
+  const std::size_t other = 1 - owner;
+  ASSERT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(3'000));
+  cluster.store.CutPages(1, kPageDelay);
+  cluster.Kill(other);
+  cluster.Restart(other);
+  std::string last;
+  for (int n = 0; n < 30; ++n) {
+    cluster.RunFor(Milliseconds(100));
+    const auto answer = cluster.Ask(other, "GET", kJobPath);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_NE(answer->status, kGone) << n;
+    last = answer->body;
+  }
+  EXPECT_NE(last.find("running"), std::string::npos) << last;
+}
+
+// Guards against a job that is said not to exist by an instance that is far behind the topic's end.
+TEST_F(ViewLoadTest, Show_WhileReadsLagBehind_DeniesNoAcceptedJob) {
+  StandInCluster cluster(2, 1, kRunTime);
+  const std::size_t owner = Owner(cluster);
+  const std::size_t other = 1 - owner;
+  cluster.store.CutBatches(1);
+  for (int n = 10; n < 90; ++n) {
+    cluster.store.Put("keyed.loom", "c/00000000000000" + std::to_string(n), "true");
+  }
+  ASSERT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(kMaxViewAge);
+  for (int n = 0; n < 30; ++n) {
+    cluster.RunFor(Milliseconds(100));
+    const auto answer = cluster.Ask(other, "GET", kJobPath);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_NE(answer->status, kGone) << n;
+  }
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
