Show the end of a job to callers only once it is stored

Callers of the owner's instance saw `completed` as soon as the last task's end was listed, before the store had taken the record. An owner that died, or that lost the store, between the two left a job that had been shown as completed and ran again where its worker had lost the list of ends. A cancellation was acknowledged in the same time without a record of it, because the job had ended in memory. After an ownership was lost, the table with such ends was shown until it had been loaded anew.

Ways weighed: answers that wait for the append (a reader would wait for as long as the store is away), and a second table of what is stored (twice the memory, for one item). Chosen: a job's entry says whether its end is stored. The owner clears the mark when it decides an end and sets it when the append has succeeded; an end that is read from the topic is stored. The mark goes with the table, so that it holds through a loss of the ownership and is replaced by the load. Until then a job counts as running, and a cancellation is recorded. Plans and orders use the end at once, as before.

--- a/include/clementineloom/workload/job_entry.h
+++ b/include/clementineloom/workload/job_entry.h
@@ -21,6 +21,8 @@
   bool is_cancelled = false;
   /// Final state, once recorded.
   std::optional<JobState> end;
+  /// Whether the store is known to hold the final state; an owner decides it before it is stored.
+  bool is_end_stored = false;
   /// Task records by occurrence and step; a missing or short row means tasks that never started.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<TaskRecord>> tasks;
 
@@ -39,7 +41,10 @@
   /// @brief Whether a task has ever been started.
   [[nodiscard]] bool HasBegun() const;
 
-  /// @brief State as a caller sees it.
+  /// @brief Whether the job has ended and no change of the owner can undo that.
+  [[nodiscard]] bool HasEnded() const { return end && is_end_stored; }
+
+  /// @brief State as a caller sees it: the final one only once it is stored.
   [[nodiscard]] JobState State() const;
 
   /// @brief Whether tasks of it may still have to start.
--- a/include/clementineloom/workload/job_table.h
+++ b/include/clementineloom/workload/job_table.h
@@ -20,6 +20,10 @@
   /// @brief Applies a record; those of owners and instances change nothing here.
   void Apply(const WorkloadRecord& record);
 
+  /// @brief Notes whether the store holds the final state of a job; nothing for an open job. A
+  /// state that was applied counts as stored.
+  void NoteEndStored(std::string_view job, bool is_stored);
+
   /// @brief Forgets everything, before a reload.
   void Clear();
 
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -152,7 +152,7 @@
 
   void Cancel(const net::ServerRequest& request, const CallerCall& call, const std::string& id) {
     const workload::JobEntry* job = jobs_.Find(id);
-    if (job != nullptr && (job->is_cancelled || job->end)) {
+    if (job != nullptr && (job->is_cancelled || job->HasEnded())) {
       Answer(request.id, Platform::AcceptedResponse());
       return;
     }
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "clementineloom/workload/advice_book.h"
@@ -73,7 +74,8 @@
     on_lost_();
   }
 
-  /// @brief Applies records at once and calls back when they are stored.
+  /// @brief Applies records at once and calls back when they are stored. Callers are not shown
+  /// the end of a job before that.
   void Append(const Records& records, std::function<void()> stored) {
     for (const workload::WorkloadRecord& it : records) {
       jobs.Apply(it);
@@ -84,18 +86,28 @@
   /// @brief The same for records that were applied already.
   void AppendApplied(const Records& records, std::function<void()> stored) {
     std::vector<workload::KeyedValue> items;
+    std::vector<std::string> ended_jobs;
     for (const workload::WorkloadRecord& it : records) {
       items.push_back(codec::EncodeWorkloadRecord(it));
+      const auto* end = std::get_if<workload::JobEndSet>(&it);
+      if (end != nullptr && end->state) {
+        jobs.NoteEndStored(end->job, false);
+        ended_jobs.push_back(end->job);
+      }
     }
-    appender_->Append(std::move(items), Guard([this, stored = std::move(stored),
-                                               decided_at = port.Now()](AppendStatus status) {
-                        if (status == AppendStatus::kAppended) {
-                          metrics.Observe(kAppendSeconds.name, port.Now() - decided_at);
-                          confirmed_at = port.Now();
-                          stored();
-                        } else {
+    appender_->Append(std::move(items),
+                      Guard([this, ended_jobs = std::move(ended_jobs), stored = std::move(stored),
+                             decided_at = port.Now()](AppendStatus status) {
+                        if (status != AppendStatus::kAppended) {
                           Lose("the store refused the epoch");
+                          return;
+                        }
+                        metrics.Observe(kAppendSeconds.name, port.Now() - decided_at);
+                        confirmed_at = port.Now();
+                        for (const std::string& it : ended_jobs) {
+                          jobs.NoteEndStored(it, true);
                         }
+                        stored();
                       }));
   }
 
--- a/src/workload/job_entry.cc
+++ b/src/workload/job_entry.cc
@@ -50,13 +50,14 @@
 }
 
 JobState JobEntry::State() const {
-  if (end) {
+  if (HasEnded()) {
     return *end;
   }
   if (is_cancelled) {
     return JobState::kCancelled;
   }
-  return HasBegun() ? JobState::kRunning : JobState::kPending;
+  // The records of its tasks are dropped with its end.
+  return end || HasBegun() ? JobState::kRunning : JobState::kPending;
 }
 
 }  // namespace clementineloom::workload
--- a/src/workload/job_table.cc
+++ b/src/workload/job_table.cc
@@ -8,6 +8,13 @@
   std::visit([this](const auto& it) { Set(it); }, record);
 }
 
+void JobTable::NoteEndStored(std::string_view job, bool is_stored) {
+  const auto it = jobs_.find(job);
+  if (it != jobs_.end() && it->second.end) {
+    it->second.is_end_stored = is_stored;
+  }
+}
+
 void JobTable::Clear() { jobs_.clear(); }
 
 const JobEntry* JobTable::Find(std::string_view job) const {
@@ -80,7 +87,9 @@
 
 void JobTable::Set(const JobEndSet& record) {
   if (record.state) {
-    jobs_[record.job].end = record.state;
+    JobEntry& entry = jobs_[record.job];
+    entry.end = record.state;
+    entry.is_end_stored = true;
   } else if (const auto it = jobs_.find(record.job); it != jobs_.end()) {
     it->second.end.reset();
     DropIfEmpty(record.job);
