Give up a caller's append before its job can be forgotten

A job that had completed ran again minutes later. An instance repeated the append of a submission until its outcome was known, for as long as it was cut off from the store. The caller had handed the job in elsewhere by then, it had run, and its records had been dropped at the end of their retention: the repeat recorded it anew. The same appender, stuck for that long, kept the instance from recording anything where the store lost all its answers.

The appender of callers gives an append up after 20 s, ten seconds before a job can be forgotten at the earliest; its outcome is reported as unknown. The next append has a higher epoch, so that the store refuses what was given up if it arrives later still. Nothing was sent of the groups that wait meanwhile; they are refused. An owner's appender goes on as before: its epoch ends.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -90,6 +90,9 @@
  private:
   static constexpr workload::Milliseconds kElectionCheck{100};
   static constexpr workload::Milliseconds kClaimTimeout{800};
+  // Shorter than ended jobs are kept: a submission that other instances recorded as well must not
+  // come back once its job is forgotten.
+  static constexpr workload::Milliseconds kCallerAppendLimit{20'000};
   // Leases must outlast a change of owner, and workers shorten longer ones than they grant.
   static constexpr workload::Milliseconds kLease{5'500};
   static constexpr workload::Milliseconds kLeaseMargin{200};
@@ -124,6 +127,7 @@
     AppenderOptions options;
     options.producer = settings_.instance + "-" + std::to_string(seed_);
     options.epoch = 1;
+    options.give_up_after = kCallerAppendLimit;
     return options;
   }
 
--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -23,8 +23,9 @@
 /// @brief Appends groups of records in order, one call at a time, each group once.
 ///
 /// Groups that wait are sent in one call. A call without an answer is repeated under its number,
-/// which the store takes once, until the outcome is known. The outcome of a group is one of
-/// kAppended, kFenced, kOutOfSequence and, unless refused appends are retried, kRefused.
+/// which the store takes once, until the outcome is known or the append is given up. The outcome of
+/// a group is one of kAppended, kFenced, kOutOfSequence, where appends are given up kUnknown and,
+/// unless refused appends are retried, kRefused.
 /// Thread safety: none; use from the thread of the port. Calls that are on their way when the
 /// appender is destroyed are ignored.
 template <class Platform, CallPort Port>
@@ -36,6 +37,7 @@
       : port_(port),
         endpoint_(std::move(endpoint)),
         options_(std::move(options)),
+        epoch_(options_.epoch),
         sequence_(options_.first_sequence) {}
 
   /// @brief Adds a group; done runs once the outcome is known, never before Append returns.
@@ -86,11 +88,12 @@
       return;
     }
     order.producer = options_.producer;
-    order.epoch = options_.epoch;
+    order.epoch = epoch_;
     order.sequence = sequence_;
     order_ = std::move(order);
     is_outcome_open_ = false;
     failures_ = 0;
+    first_sent_at_ = port_.Now();
     Send();
   }
 
@@ -110,6 +113,10 @@
       return;
     }
     is_outcome_open_ = is_outcome_open_ || answer.status == AppendStatus::kUnknown;
+    if (options_.give_up_after && port_.Now() - first_sent_at_ >= *options_.give_up_after) {
+      GiveUp();
+      return;
+    }
     if (failures_++ == 0) {
       logging::LogEvent(logging::LogLevel::kWarning, "append_retry",
                         {{"topic", endpoint_.topic},
@@ -121,6 +128,26 @@
     After(std::min<workload::Milliseconds>(delay, kMaxRetryDelay), [this] { Send(); });
   }
 
+  // Nothing was sent of the groups that wait, so that a refusal of them is true.
+  void GiveUp() {
+    logging::LogEvent(logging::LogLevel::kWarning, "append_given_up",
+                      {{"topic", endpoint_.topic},
+                       {"producer", options_.producer},
+                       {"waiting", waiting_.size()}});
+    ++epoch_;
+    sequence_ = options_.first_sequence;
+    failures_ = 0;
+    std::deque<Group> unsent = std::exchange(waiting_, {});
+    const auto alive = life_.watch();
+    for (const Group& it : unsent) {
+      it.done(AppendStatus::kRefused);
+      if (alive.expired()) {
+        return;
+      }
+    }
+    Finish(AppendStatus::kUnknown, 0);
+  }
+
   // Tells the groups of a call its outcome. @param numbers that the store took for it
   void Finish(AppendStatus status, std::uint64_t numbers) {
     if (status == AppendStatus::kAppended) {
@@ -145,6 +172,7 @@
   Port& port_;
   const StoreEndpoint endpoint_;
   const AppenderOptions options_;
+  std::uint64_t epoch_;
   std::uint64_t sequence_;
   std::deque<Group> waiting_;
   std::vector<Group> in_flight_;
@@ -153,6 +181,7 @@
   // Whether the append on its way may have been carried out already.
   bool is_outcome_open_ = false;
   std::uint32_t failures_ = 0;
+  workload::SteadyTime first_sent_at_;
   LifeGuard life_;
 };
 
