Announce an instance again until the store has taken it

An instance that started while the store refused records was never known to its peers: its one announcement was refused and not repeated. Peers could not hand requests to it, and callers that met an instance without the store were refused although this one could have recorded their jobs.

The new test starts an instance while the store refuses appends. On the code before:

late_append_test.cc:112: AnnouncementsOf(front_) Which is: 1, expected before + 1

The announcement is repeated each second until it is stored.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -90,6 +90,7 @@
  private:
   static constexpr workload::Milliseconds kElectionCheck{100};
   static constexpr workload::Milliseconds kClaimTimeout{800};
+  static constexpr workload::Milliseconds kAnnouncePause{1'000};
   // Shorter than ended jobs are kept: a submission that other instances recorded as well must not
   // come back once its job is forgotten.
   static constexpr workload::Milliseconds kCallerAppendLimit{20'000};
@@ -178,14 +179,22 @@
     }
     OnJobItems(items);
     if (!std::exchange(is_announced_, true)) {
-      appender_.Append({codec::EncodeWorkloadRecord(workload::InstanceSet{
-                           {settings_.instance, settings_.listen, Millicores()}})},
-                       [](AppendStatus) {});
+      Announce();
     }
     logging::LogEvent(logging::LogLevel::kInfo, "jobs_loaded",
                       {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
   }
 
+  // Tells the peers where this instance serves, until the store has taken it.
+  void Announce() {
+    const workload::InstanceSet announcement{{settings_.instance, settings_.listen, Millicores()}};
+    appender_.Append({codec::EncodeWorkloadRecord(announcement)}, [this](AppendStatus status) {
+      if (status != AppendStatus::kAppended) {
+        port_.After(kAnnouncePause, [this] { Announce(); });
+      }
+    });
+  }
+
   void OnJobBatch(const std::vector<TopicItem>& items) {
     OnJobItems(items);
     if (owner_ == nullptr && !is_stopping_ && HoldsClaim() && HasReadUpToOwner()) {
@@ -412,7 +421,7 @@
   // Sets this instance's epochs apart from others'; drawn anew for each claim, in case two agree.
   std::uint64_t nonce_ = seed_;
   bool has_store_ = false;
-  // Whether the peers were told where this instance serves.
+  // Whether this instance has begun to tell its peers where it serves.
   bool is_announced_ = false;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
--- a/tests/entry/late_append_test.cc
+++ b/tests/entry/late_append_test.cc
@@ -41,6 +41,12 @@
       return it.key == "s/" + job && !it.value.empty();
     });
   }
+  [[nodiscard]] std::ptrdiff_t AnnouncementsOf(std::size_t instance) {
+    const auto& records = cluster_.store.Records(kTopic);
+    return std::count_if(records.begin(), records.end(), [&](const workload::KeyedValue& it) {
+      return it.key == "i/e" + std::to_string(instance);
+    });
+  }
 
   StandInCluster cluster_{2, 1, kRunTime};
   const std::size_t owner_;
@@ -94,5 +100,17 @@
   EXPECT_EQ(cluster_.StartsOf(kTask), 1);
 }
 
+// Guards against an instance that its peers never learn of: the store refused its announcement.
+TEST_F(LateAppendTest, Start_WhileTheStoreRefusesAppends_IsAnnouncedOnceItTakesThem) {
+  cluster_.store.RefuseAppends(true);
+  cluster_.Kill(front_);
+  cluster_.Restart(front_);
+  cluster_.RunFor(Milliseconds(2'000));
+  const std::ptrdiff_t before = AnnouncementsOf(front_);
+  cluster_.store.RefuseAppends(false);
+  cluster_.RunFor(Milliseconds(2'000));
+  EXPECT_EQ(AnnouncementsOf(front_), before + 1);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
