Keep an unknown outcome when a later peer refuses the request

An instance without the store hands a submission to its peers in turn. The first one took it and had no answer from the store within 600 ms; the next one already had the configuration without the team's key and answered 401. That answer was passed on as the outcome of the whole request, although the first peer still recorded the job. The same happened to cancellations, and, with 503 in place of 401, to requests that peers are asked for beside a silent append.

RunHistory now holds what all attempts at a request say. It only ever loses the certainty that nothing ran, so that no later refusal can overwrite an unknown outcome, and one function turns it into an answer. Once an attempt is open, further peers are asked for a success, and without one the answer is 504.

--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -16,7 +16,9 @@
 #include "clementineloom/workload/job_table.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/caller_call.h"
+#include "entry/caller/peer_outcome.h"
 #include "entry/caller/peer_router.h"
+#include "entry/caller/run_history.h"
 #include "entry/caller/waiting_record.h"
 #include "entry/metric_specs.h"
 #include "entry/operator/operator_view.h"
@@ -95,7 +97,6 @@
   static constexpr std::chrono::seconds kRetryAfterOutage{1};
   // Time after which an append without an answer is tried by way of a peer as well.
   static constexpr workload::Milliseconds kSilence{350};
-  static constexpr int kFirstErrorStatus = 300;
   // An older view may lack a job that was accepted elsewhere and has to be visible by now.
   static constexpr workload::Milliseconds kMaxViewAge{2'400};
 
@@ -172,18 +173,15 @@
       RefuseForNow(request.id, refusal);
       return;
     }
-    peers_.Forward(request.request, ViewAge(),
-                   [this, exchange = request.id, refusal = std::move(refusal)](
-                       std::optional<net::HttpResponse> response, bool may_have_run) {
-                     if (response) {
-                       Answer(exchange, std::move(*response));
-                     } else if (may_have_run) {
-                       Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun,
-                                         "no answer of peers"});
-                     } else {
-                       RefuseForNow(exchange, refusal);
-                     }
-                   });
+    peers_.Forward(
+        request.request, ViewAge(),
+        [this, exchange = request.id, refusal = std::move(refusal)](PeerOutcome outcome) {
+          if (outcome.answer) {
+            Answer(exchange, std::move(*outcome.answer));
+          } else {
+            RefuseAfter(outcome.history, exchange, refusal);
+          }
+        });
   }
 
   // Answers once the outcome of the record is known, or when the caller is about to give up. The
@@ -197,7 +195,7 @@
       return;
     }
     const net::ExchangeId exchange = request.id;
-    waiting_.emplace(exchange, WaitingRecord{id});
+    waiting_[exchange].job = id;
     port_.After(std::max(workload::Milliseconds(call.patience_ms) - kAnswerMargin,
                          workload::Milliseconds(0)),
                 [this, exchange] { GiveUp(exchange); });
@@ -212,23 +210,20 @@
   void RecordByOwner(const net::ServerRequest& request, const workload::WorkloadRecord& record,
                      const std::string& owner) {
     waiting_.at(request.id).is_at_peers = true;
-    peers_.ForwardTo(owner, request.request,
-                     [this, request, record, owner](std::optional<net::HttpResponse> response,
-                                                    bool may_have_run) {
-                       OnOwnerAnswer(request, record, owner, std::move(response), may_have_run);
-                     });
+    peers_.ForwardTo(owner, request.request, [this, request, record, owner](PeerOutcome outcome) {
+      OnOwnerAnswer(request, record, owner, std::move(outcome));
+    });
   }
 
   void OnOwnerAnswer(const net::ServerRequest& request, const workload::WorkloadRecord& record,
-                     const std::string& owner, std::optional<net::HttpResponse> response,
-                     bool may_have_run) {
+                     const std::string& owner, PeerOutcome outcome) {
     const auto it = waiting_.find(request.id);
     if (it == waiting_.end()) {
       return;
     }
     it->second.is_at_peers = false;
-    if (!IsSuccess(response)) {
-      it->second.may_be_recorded = may_have_run;
+    if (!outcome.is_success()) {
+      it->second.history = it->second.history.With(outcome.history);
       RecordHere(request, record);
       return;
     }
@@ -236,7 +231,7 @@
                       {{"job", it->second.job}, {"owner", owner}});
     jobs_.Apply(record);
     waiting_.erase(it);
-    Answer(request.id, std::move(*response));
+    Answer(request.id, std::move(*outcome.answer));
   }
 
   // Precondition: the request waits.
@@ -272,7 +267,8 @@
       return;
     }
     it->second.is_refused_here = status == AppendStatus::kRefused;
-    it->second.may_be_recorded = it->second.may_be_recorded || status != AppendStatus::kRefused;
+    it->second.history = it->second.history.With(
+        status == AppendStatus::kRefused ? RunState::kDidNotRun : RunState::kMayHaveRun);
     if (!it->second.is_at_peers) {
       RefuseWaiting(exchange);
     }
@@ -280,14 +276,11 @@
 
   // Refuses a request that neither this instance nor a peer has recorded for sure.
   void RefuseWaiting(net::ExchangeId exchange) {
-    const bool may_be_recorded = waiting_.at(exchange).may_be_recorded;
+    const RunHistory history = waiting_.at(exchange).history;
     waiting_.erase(exchange);
-    if (may_be_recorded) {
-      Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
-    } else {
-      RefuseForNow(exchange, {ResultCode::kLogUnavailable, RunState::kDidNotRun,
-                              "the store did not take the record"});
-    }
+    RefuseAfter(
+        history, exchange,
+        {ResultCode::kLogUnavailable, RunState::kDidNotRun, "the store did not take the record"});
   }
 
   // The link to the store may be silent while a peer's is not. A refusal by the store waits for
@@ -298,35 +291,28 @@
       return;
     }
     it->second.is_at_peers = true;
-    peers_.Forward(request.request, ViewAge(),
-                   [this, exchange = request.id](std::optional<net::HttpResponse> response,
-                                                 bool may_have_run) {
-                     OnPeersAnswer(exchange, std::move(response), may_have_run);
-                   });
+    peers_.Forward(request.request, ViewAge(), [this, exchange = request.id](PeerOutcome outcome) {
+      OnPeersAnswer(exchange, std::move(outcome));
+    });
   }
 
-  void OnPeersAnswer(net::ExchangeId exchange, std::optional<net::HttpResponse> response,
-                     bool may_have_run) {
+  void OnPeersAnswer(net::ExchangeId exchange, PeerOutcome outcome) {
     const auto it = waiting_.find(exchange);
     if (it == waiting_.end()) {
       return;
     }
-    if (IsSuccess(response)) {
+    if (outcome.is_success()) {
       waiting_.erase(it);
-      Answer(exchange, std::move(*response));
+      Answer(exchange, std::move(*outcome.answer));
       return;
     }
     it->second.is_at_peers = false;
-    it->second.may_be_recorded = it->second.may_be_recorded || may_have_run;
+    it->second.history = it->second.history.With(outcome.history);
     if (it->second.is_refused_here) {
       RefuseWaiting(exchange);
     }
   }
 
-  static bool IsSuccess(const std::optional<net::HttpResponse>& response) {
-    return response && response->status < kFirstErrorStatus;
-  }
-
   void GiveUp(net::ExchangeId exchange) {
     const auto it = waiting_.find(exchange);
     if (it == waiting_.end()) {
@@ -338,6 +324,15 @@
     Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "no answer of the store"});
   }
 
+  // Refuses a request if no attempt at it may have run, and else leaves its outcome open.
+  void RefuseAfter(const RunHistory& attempts, net::ExchangeId exchange, const Refusal& refusal) {
+    if (attempts.MayBeRefused()) {
+      RefuseForNow(exchange, refusal);
+    } else {
+      Refuse(exchange, {ResultCode::kAppendUnknown, RunState::kMayHaveRun, "record unknown"});
+    }
+  }
+
   // Sends the caller to another instance, after a pause.
   void RefuseForNow(net::ExchangeId exchange, const Refusal& refusal) {
     LogRefusal(exchange, refusal);
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -10,9 +11,13 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/errors/run_state_name.h"
 #include "clementineloom/workload/instance_record.h"
+#include "entry/caller/peer_outcome.h"
+#include "entry/caller/run_history.h"
 #include "entry/port/call_port.h"
 #include "entry/port/life_guard.h"
+#include "logging/event_budget.h"
 #include "logging/event_log.h"
 
 namespace clementineloom::entry {
@@ -20,13 +25,13 @@
 /// @brief Hands requests of callers to other instances, while this one cannot reach the store.
 ///
 /// A request is tried at several peers in turn: submissions and cancellations are idempotent by
-/// the job's id. A peer does not hand it on again.
+/// the job's id. A peer does not hand it on again. Once an attempt may have run, the refusals of
+/// other peers are not passed on: only a success settles the request.
 /// Thread safety: none; use from the thread of the port.
 template <CallPort Port>
 class PeerRouter {
  public:
-  /// Takes the answer of a peer, or nothing; then the flag tells whether the request may have run.
-  using Done = std::function<void(std::optional<net::HttpResponse>, bool may_have_run)>;
+  using Done = std::function<void(PeerOutcome)>;
 
   PeerRouter(Port& port, std::string instance) : port_(port), instance_(std::move(instance)) {}
 
@@ -62,7 +67,7 @@
   /// Done runs once, never before Forward returns.
   /// @param view_age of this instance
   void Forward(const net::HttpRequest& request, workload::Milliseconds view_age, Done done) {
-    Try({Forwarded(request), Candidates(), 0, false, port_.Now() - view_age, std::move(done)});
+    Try({Forwarded(request), Candidates(), 0, {}, port_.Now() - view_age, std::move(done)});
   }
 
   /// @brief Whether a peer is known and has not failed just now.
@@ -76,7 +81,7 @@
   /// Done runs once, never before ForwardTo returns. Precondition: MayAsk(peer).
   void ForwardTo(const std::string& peer, const net::HttpRequest& request, Done done) {
     // Only this peer: what it does not take comes back.
-    Send(peer, {Forwarded(request), {}, 0, false, {}, std::move(done)});
+    Send(peer, {Forwarded(request), {}, 0, {}, {}, std::move(done)});
   }
 
  private:
@@ -92,8 +97,11 @@
   // The same for the owner, which is asked again as soon as it may have recovered.
   static constexpr workload::Milliseconds kShortRest{1'000};
   static constexpr int kOk = 200;
+  static constexpr int kFirstError = 300;
+  static constexpr int kFirstServerError = 500;
   static constexpr int kUnavailable = 503;
-  static constexpr int kOutcomeUnknown = 504;
+  // Answers of peers that are logged in a second; more would cost the decisions their time.
+  static constexpr std::uint32_t kAnswerLines = 20;
 
   struct Peer {
     std::string address;
@@ -103,7 +111,7 @@
     net::HttpRequest request;
     std::vector<std::string> peers;
     std::size_t next = 0;
-    bool may_have_run = false;
+    RunHistory history;
     // When this instance last read the store.
     workload::SteadyTime last_read_at;
     Done done;
@@ -135,8 +143,9 @@
 
   void Try(Attempt attempt) {
     if (attempt.next >= std::min(attempt.peers.size(), kMaxTries)) {
-      port_.After(workload::Milliseconds(0),
-                  life_.Wrap([attempt] { attempt.done(std::nullopt, attempt.may_have_run); }));
+      port_.After(workload::Milliseconds(0), life_.Wrap([attempt] {
+        attempt.done({std::nullopt, attempt.history});
+      }));
       return;
     }
     const std::string peer = attempt.peers[attempt.next++];
@@ -176,23 +185,64 @@
   }
 
   void OnAnswer(const std::string& peer, Attempt attempt, const net::ClientResult& result) {
-    if (result.response && result.response->status < kUnavailable) {
+    const RunState run_state = RunStateOf(result);
+    attempt.history = attempt.history.With(run_state);
+    const bool is_healthy = result.response && result.response->status < kUnavailable;
+    if (is_healthy) {
       last_good_ = peer;
       peers_.at(peer).failed_at = {};
-      attempt.done(result.response, false);
+    } else {
+      NoteFailure(peer);
+    }
+    if (run_state != RunState::kRan && !IsRead(attempt.request)) {
+      LogAnswer(peer, attempt, result);
+    }
+    if (is_healthy && MayPassOn(attempt, run_state)) {
+      attempt.done({result.response, attempt.history});
+    } else {
+      Try(std::move(attempt));
+    }
+  }
+
+  // An unsuccessful answer is final only if it holds for all attempts. A read has no effect, so
+  // that any answer to it will do.
+  static bool MayPassOn(const Attempt& attempt, RunState run_state) {
+    return run_state == RunState::kRan || attempt.history.MayBeRefused() || IsRead(attempt.request);
+  }
+
+  static bool IsRead(const net::HttpRequest& request) { return request.method == "GET"; }
+
+  static RunState RunStateOf(const net::ClientResult& result) {
+    if (!result.response) {
+      return result.refusal->run_state;
+    }
+    const int status = result.response->status;
+    if (status < kFirstError) {
+      return RunState::kRan;
+    }
+    const bool is_refusal = status < kFirstServerError || status == kUnavailable;
+    return is_refusal ? RunState::kDidNotRun : RunState::kMayHaveRun;
+  }
+
+  void LogAnswer(const std::string& peer, const Attempt& attempt, const net::ClientResult& result) {
+    if (!answer_budget_.Allow(port_.Now())) {
       return;
     }
-    NoteFailure(peer);
-    const bool may_have_run = result.response ? result.response->status == kOutcomeUnknown
-                                              : result.refusal->run_state != RunState::kDidNotRun;
-    attempt.may_have_run = attempt.may_have_run || may_have_run;
-    Try(std::move(attempt));
+    logging::LogEvent(logging::LogLevel::kInfo, "peer_did_not_take_request",
+                      {{"method", attempt.request.method},
+                       {"path", attempt.request.target},
+                       {"peer", peer},
+                       {"status", result.response ? result.response->status : 0},
+                       {"run_state", RunStateName(RunStateOf(result))},
+                       {"run_state_of_all", RunStateName(attempt.history.state())},
+                       {"left_out", answer_budget_.TakeLeftOut()}});
   }
 
   Port& port_;
   const std::string instance_;
   std::map<std::string, Peer> peers_;
   std::string last_good_;
+  logging::EventBudget answer_budget_{kAnswerLines};
   LifeGuard life_;
 };
 
--- /dev/null
+++ b/tests/entry/caller_refusal_test.cc
@@ -0,0 +1,126 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "entry/cluster_test.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using standin::StandInStore;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kTask = "00000000000000a1.0.0.0";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":1}])";
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
+constexpr Milliseconds kRunTime{12'000};
+// Beyond the time for which an instance waits for a peer.
+constexpr Milliseconds kSlowAppend{700};
+
+/// Three instances, one of which is asked by the callers and does not own the workers.
+class CallerRefusalTest : public ClusterTest {
+ protected:
+  CallerRefusalTest() {
+    const std::size_t owner = Owner(cluster_);
+    owner_ = CallersOf(owner);
+    front_ = owner == 0 ? 1 : 0;
+    peer_ = CallersOf(owner == 2 ? 1 : 2);
+    cluster_.SetPatience(Milliseconds(2'500));
+  }
+
+  static std::string CallersOf(std::size_t instance) {
+    return "e" + std::to_string(instance) + "-";
+  }
+
+  // Lets the instance notice that it has lost the store.
+  void CutFrontFromTheStore() {
+    cluster_.port(front_).Cut(StandInStore::kAddress);
+    cluster_.RunFor(Milliseconds(3'000));
+  }
+  void RevokeKeyIn(Milliseconds delay) {
+    cluster_.world.After(delay, [this] { cluster_.PublishConfig(2, "other-key"); });
+  }
+  int StatusOf(const std::string& method, const std::string& body = {}) {
+    const auto answer = cluster_.Ask(front_, method, std::string("/urgent/") + kJob, body);
+    EXPECT_TRUE(answer.has_value());
+    return answer ? answer->status : 0;
+  }
+  int Submit() { return StatusOf("POST", std::string(R"({"spec":"x","steps":)") + kOneTask + "}"); }
+
+  StandInCluster cluster_{3, 2, kRunTime};
+  std::size_t front_ = 0;
+  // Names with which the other instances' appends for callers begin.
+  std::string owner_;
+  std::string peer_;
+};
+
+// Guards against a refusal by one peer while another one, which was asked before and did not answer
+// in time, still records the job: it was answered with 401, and started.
+TEST_F(CallerRefusalTest, Submit_RefusedByAPeerWhileAnotherRecordsIt_IsNotSaidToBeRefused) {
+  CutFrontFromTheStore();
+  cluster_.store.DelayAppendsOf("e", kSlowAppend);
+  RevokeKeyIn(Milliseconds(300));
+  const int status = Submit();
+  cluster_.RunFor(Milliseconds(3'000));
+  ASSERT_EQ(cluster_.StartsOf(kTask), 1);
+  EXPECT_EQ(status, kOutcomeUnknown);
+}
+
+// Guards against the same for a cancellation: the job was stopped after the refusal.
+TEST_F(CallerRefusalTest, Cancel_RefusedByAPeerWhileAnotherRecordsIt_IsNotSaidToBeRefused) {
+  ASSERT_EQ(Submit(), kOk);
+  CutFrontFromTheStore();
+  ASSERT_EQ(cluster_.RunningCount(), 1U);
+  cluster_.store.DelayAppendsOf("e", kSlowAppend);
+  RevokeKeyIn(Milliseconds(300));
+  const int status = StatusOf("DELETE");
+  cluster_.RunFor(Milliseconds(3'000));
+  ASSERT_EQ(cluster_.RunningCount(), 0U);
+  EXPECT_EQ(status, kOutcomeUnknown);
+}
+
+// Guards against the same where the store refuses the instance's own append at last, and the
+// peers were asked because it was silent.
+TEST_F(CallerRefusalTest, Submit_RefusedHereAndByAPeerWhileAnotherRecordsIt_IsNotSaidToBeRefused) {
+  cluster_.RunFor(Milliseconds(1'000));
+  cluster_.store.RefuseAppendsOf(owner_, Milliseconds(50));
+  cluster_.store.RefuseAppendsOf(CallersOf(front_), Milliseconds(900));
+  cluster_.store.DelayAppendsOf(peer_, kSlowAppend);
+  // Its view of the store grows older than those of its peers.
+  cluster_.port(front_).LoseAnswersOf("/log-read");
+  cluster_.RunFor(Milliseconds(700));
+  RevokeKeyIn(Milliseconds(800));
+  const int status = Submit();
+  cluster_.port(front_).Heal(StandInStore::kAddress);
+  cluster_.RunFor(Milliseconds(3'000));
+  ASSERT_EQ(cluster_.StartsOf(kTask), 1);
+  EXPECT_EQ(status, kOutcomeUnknown);
+}
+
+// Guards against a refusal that is held back although nothing was recorded.
+TEST_F(CallerRefusalTest, Submit_WhereTheFirstPeerKnowsThatTheKeyIsRevoked_IsRefused) {
+  CutFrontFromTheStore();
+  RevokeKeyIn(Milliseconds(0));
+  cluster_.RunFor(Milliseconds(100));
+  EXPECT_EQ(Submit(), kUnauthorized);
+  cluster_.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster_.StartsOf(kTask), 0);
+}
+
+// Guards against an unknown outcome where every attempt was surely refused.
+TEST_F(CallerRefusalTest, Submit_RefusedByTheStoreForAllPeers_IsRefused) {
+  CutFrontFromTheStore();
+  cluster_.store.RefuseAppendsOf("e", Milliseconds(50));
+  EXPECT_EQ(Submit(), kUnavailable);
+  cluster_.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster_.StartsOf(kTask), 0);
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- /dev/null
+++ b/tests/entry/peer_router_test.cc
@@ -0,0 +1,100 @@
+#include "entry/caller/peer_router.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "standin/sim_port.h"
+#include "standin/sim_world.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::SimPort;
+using standin::SimWorld;
+using workload::Milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNoSuchJob = 410;
+constexpr int kUnavailable = 503;
+// In place of a status: the peer takes the request and does not answer.
+constexpr int kSilent = 0;
+
+class PeerRouterTest : public testing::Test {
+ protected:
+  // Adds peers that answer so; they are asked in this order.
+  void AddPeers(const std::vector<int>& statuses) {
+    for (const int status : statuses) {
+      const std::string number = std::to_string(++peers_);
+      const std::string address = "10.0.3." + number + ":1";
+      world_.Serve(address,
+                   [status](const net::HttpRequest& request, const SimWorld::Reply& reply) {
+                     if (PeerRouter<SimPort>::IsProbe(request)) {
+                       reply(PeerRouter<SimPort>::ProbeResponse(Milliseconds(0)));
+                     } else if (status != kSilent) {
+                       reply({status, {}, {}});
+                     }
+                   });
+      router_.Add({"p" + number, address, 0});
+    }
+  }
+
+  // Hands a request on and waits for its outcome.
+  PeerOutcome Forward(const std::string& method) {
+    std::vector<PeerOutcome> outcomes;
+    router_.Forward({method, "/urgent/1", {}, {}}, std::chrono::seconds(10),
+                    [&outcomes](PeerOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+    world_.RunFor(Milliseconds(5'000));
+    EXPECT_EQ(outcomes.size(), 1U);
+    return outcomes.empty() ? PeerOutcome() : outcomes.front();
+  }
+  int StatusOf(const PeerOutcome& outcome) { return outcome.answer ? outcome.answer->status : 0; }
+
+  SimWorld world_;
+  SimPort port_{world_};
+  PeerRouter<SimPort> router_{port_, "here"};
+  int peers_ = 0;
+};
+
+// Guards against a refusal that is passed on although the peer before may still carry it out.
+TEST_F(PeerRouterTest, Forward_RefusedAfterASilentPeer_LeavesTheOutcomeOpen) {
+  AddPeers({kSilent, kUnauthorized, kUnauthorized});
+  const PeerOutcome outcome = Forward("POST");
+  EXPECT_FALSE(outcome.answer.has_value());
+  EXPECT_EQ(outcome.history.state(), RunState::kMayHaveRun);
+}
+
+// Guards against an outcome that stays open although a later peer settles it.
+TEST_F(PeerRouterTest, Forward_TakenAfterASilentPeerAndARefusal_IsASuccess) {
+  AddPeers({kSilent, kUnauthorized, kOk});
+  const PeerOutcome outcome = Forward("POST");
+  EXPECT_EQ(StatusOf(outcome), kOk);
+  EXPECT_TRUE(outcome.is_success());
+}
+
+// Guards against a refusal that is held back although no peer may have carried the request out.
+TEST_F(PeerRouterTest, Forward_RefusedAfterAPeerWithoutTheStore_IsRefused) {
+  AddPeers({kUnavailable, kUnauthorized, kOk});
+  const PeerOutcome outcome = Forward("POST");
+  EXPECT_EQ(StatusOf(outcome), kUnauthorized);
+  EXPECT_TRUE(outcome.history.MayBeRefused());
+}
+
+// Guards against an unknown outcome where all peers have said that they did nothing.
+TEST_F(PeerRouterTest, Forward_RefusedByPeersWithoutTheStore_MayBeRefused) {
+  AddPeers({kUnavailable, kUnavailable});
+  const PeerOutcome outcome = Forward("POST");
+  EXPECT_FALSE(outcome.answer.has_value());
+  EXPECT_TRUE(outcome.history.MayBeRefused());
+}
+
+// Guards against reads that stay open after a silent peer: a read has no effect.
+TEST_F(PeerRouterTest, Forward_ReadAnsweredAfterASilentPeer_IsAnswered) {
+  AddPeers({kSilent, kNoSuchJob});
+  EXPECT_EQ(StatusOf(Forward("GET")), kNoSuchJob);
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -24,13 +24,15 @@
   RunFor(Milliseconds(3'000));
 }
 
-void StandInCluster::PublishConfig(std::uint64_t version) {
-  store.Put("keyed.op", "config", R"({"version":)" + std::to_string(version) + R"(,"routes":[
+void StandInCluster::PublishConfig(std::uint64_t version, const std::string& key) {
+  store.Put("keyed.op", "config",
+            R"({"version":)" + std::to_string(version) + R"(,"routes":[
               {"name":"urgent","host":"h","pathPrefix":"/urgent/","service":"inspect",
                "priority":0,"maxAttempts":2,"public":false},
               {"name":"bulk","host":"h","pathPrefix":"/bulk/","service":"inspect",
                "priority":2,"maxAttempts":2,"public":true}],
-              "tenants":[{"name":"t","apiKeys":["key"],"guaranteed":{"gpus":8}}]})");
+              "tenants":[{"name":"t","apiKeys":[")" +
+                key + R"("],"guaranteed":{"gpus":8}}]})");
 }
 
 void StandInCluster::Register(const StandInWorker& worker, const std::string& state,
@@ -83,13 +85,15 @@
                                                      const std::string& method,
                                                      const std::string& path,
                                                      const std::string& body) {
-  constexpr int kMaxWaitMs = 1'000;
+  constexpr Milliseconds kLastAnswers{100};
   const std::uint64_t exchange = ++last_exchange_;
   net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token key"),
                            body, "h"};
-  request.headers = request.headers.With("X-Clementineloom-Deadline-Ms", "900");
+  request.headers =
+      request.headers.With("X-Clementineloom-Deadline-Ms", std::to_string(patience_.count()));
   instances_[instance].state->OnRequest({net::ExchangeId(exchange), std::move(request)});
-  for (int n = 0; n < kMaxWaitMs && !answers_.contains(exchange); ++n) {
+  const Milliseconds longest = patience_ + kLastAnswers;
+  for (Milliseconds n{0}; n < longest && !answers_.contains(exchange); ++n) {
     RunFor(Milliseconds(1));
   }
   const auto it = answers_.find(exchange);
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -27,7 +27,8 @@
                  bool same_seeds = false);
 
   /// @brief Publishes a configuration with one queue for each of two priorities.
-  void PublishConfig(std::uint64_t version);
+  /// @param key of the team; another one than "key" takes the callers' key away
+  void PublishConfig(std::uint64_t version, const std::string& key = "key");
   void Register(const StandInWorker& worker, const std::string& state = "ready",
                 std::int64_t remaining_ms = 0);
   void Unregister(const StandInWorker& worker);
@@ -38,7 +39,9 @@
   bool RunUntilState(const std::string& job, const std::string& state,
                      workload::Milliseconds timeout);
 
-  /// @brief Sends a request to an instance and runs until it is answered or a second is over.
+  /// @brief How long callers wait from now on. An instance answers somewhat earlier.
+  void SetPatience(workload::Milliseconds patience) { patience_ = patience; }
+  /// @brief Sends a request to an instance and runs until it is answered or the caller gives up.
   std::optional<net::HttpResponse> Ask(std::size_t instance, const std::string& method,
                                        const std::string& path, const std::string& body = {});
   std::optional<net::HttpResponse> Submit(std::size_t instance, const std::string& job,
@@ -88,6 +91,7 @@
   void Deliver(std::uint64_t exchange, net::HttpResponse response);
 
   const bool same_seeds_;
+  workload::Milliseconds patience_{900};
   std::vector<Instance> instances_;
   std::uint32_t last_seed_ = 0;
   std::uint64_t last_exchange_ = 0;
