Ask again before each order to start whether its worker takes runs

A task started 5.1 to 5.6 s after the evacuation of its data centre was acknowledged, by an owner that knew of the evacuation all the while (EVAC). The start had been planned before. It had no answer, and was repeated every second until the worker answered; neither the repeats nor the first order after the store had confirmed the start asked whether the data centre had been evacuated, the worker drained or its entry was gone meanwhile.

The tests failed before, each with "StartsOf(kTask) is 1, expected 0":

LostStart_DataCentreEvacuatedMeanwhile, LostStart_WorkerDrainsMeanwhile, LostStart_WorkerUnlistedMeanwhile, StartBeingRecorded_DataCentreEvacuatedMeanwhile, StartBeingRecorded_WorkerDrainsMeanwhile

All orders to start pass through OrderStart, which now asks just before each. A start that is called off gives its room back, or is stopped at the worker where an earlier order may still arrive, as after a refusal.

--- a/include/clementineloom/workload/pool_worker.h
+++ b/include/clementineloom/workload/pool_worker.h
@@ -30,10 +30,11 @@
 
   [[nodiscard]] Resources Free() const { return info.capacity - used; }
 
+  /// @brief Whether the worker is known and stays; then a start that was planned may be ordered.
+  [[nodiscard]] bool IsInService() const { return is_listed && is_attached && !info.is_draining; }
+
   /// @brief Whether new runs may be placed here at a moment.
-  [[nodiscard]] bool TakesRuns(SteadyTime now) const {
-    return is_listed && is_attached && !info.is_draining && now >= usable_from;
-  }
+  [[nodiscard]] bool TakesRuns(SteadyTime now) const { return IsInService() && now >= usable_from; }
 
   /// @brief Whether runs here serve users, or fill the processors that others leave idle.
   [[nodiscard]] bool HasServiceTasks() const {
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -110,6 +110,13 @@
     return placed == it->second.runs.end() ? nullptr : &placed->second;
   }
 
+  /// @brief Whether a start may be ordered on a worker, by what is known now.
+  [[nodiscard]] bool MayStartOn(const std::string& worker) const {
+    const auto it = workers.find(worker);
+    return it != workers.end() && it->second.IsInService() &&
+           !operators.evacuated().contains(it->second.info.data_centre);
+  }
+
   /// @brief The step of a run that works for an open job, or null: such a run may be stopped early.
   [[nodiscard]] const workload::StepSpec* OpenStepOf(const workload::PlacedRun& run) const {
     const workload::JobEntry* job = jobs.Find(run.run.task.step.job);
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -23,8 +23,13 @@
  public:
   explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core) {}
 
-  /// @brief Orders a start. Precondition: it is recorded, and its run holds room.
+  /// @brief Orders a start, unless what was published since it was planned speaks against its
+  /// worker. Precondition: it is recorded, and its run holds room.
   void OrderStart(const workload::PlannedStart& start) {
+    if (!core_.MayStartOn(start.worker)) {
+      CallOff(start, "the worker takes no runs any more");
+      return;
+    }
     WorkerLink& link = core_.links[start.worker];
     const auto lease_until = link.lease.Grant(core_.options.lease, core_.port.Now());
     if (!lease_until) {
@@ -111,21 +116,27 @@
         core_.advice.Reject(start.run.run.task.step, start.worker);
         [[fallthrough]];
       default:
-        OnStartRefused(start, *run, answer.status);
+        OnStartRefused(start, answer.status);
         break;
     }
   }
 
-  void OnStartRefused(const workload::PlannedStart& start, const workload::PlacedRun& run,
-                      OrderStatus status) {
+  void OnStartRefused(const workload::PlannedStart& start, OrderStatus status) {
     if (status == OrderStatus::kRefused || status == OrderStatus::kNoRoom) {
       core_.Rest(start.worker, OwnerTiming::kRestAfterFailure);
     }
-    if (run.may_start_late) {
+    CallOff(start, "refused");
+  }
+
+  // Gives a start up.
+  void CallOff(const workload::PlannedStart& start, std::string_view reason) {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    if (run != nullptr && run->may_start_late) {
+      LogStart("start_called_off", start, reason);
       // An earlier order may still arrive: the stop makes the worker refuse it.
       OrderStop(start.worker, start.run.run);
     } else {
-      NotStarted(start.worker, start.run.run, "refused");
+      NotStarted(start.worker, start.run.run, reason);
     }
   }
 
@@ -139,11 +150,21 @@
       if (core_.links[start.worker].failures > 0) {
         RetryStart(start);
       } else {
+        LogStart("start_repeated", start, "no answer");
         OrderStart(start);
       }
     }));
   }
 
+  void LogStart(std::string_view event, const workload::PlannedStart& start,
+                std::string_view reason) const {
+    logging::LogEvent(logging::LogLevel::kInfo, event,
+                      {{"task", codec::TaskName(start.run.run.task)},
+                       {"run", start.run.run.run},
+                       {"worker", start.worker},
+                       {"reason", reason}});
+  }
+
   // The task waits again; its record is overwritten by the next start.
   void NotStarted(const std::string& worker, const workload::TaskRun& run,
                   std::string_view reason) {
