Order no starts by an old view of what operators wrote

An owner that got no answers to its reads of the operators' topic, and whose appends went on, planned and ordered starts in a data centre that had been evacuated. An owner that was frozen did the same once it ran again: the answer to a read that had waited meanwhile was taken for a new view.

A start that is already recorded waits for the next read and is then asked about like every other one. The stand-in can freeze an instance: its timers, answers and requests wait, and the clock goes on.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -138,6 +138,7 @@
     for (const TopicItem& it : items) {
       TakeOperatorItem(it.item);
     }
+    operators_.NoteComplete(operator_follower_.complete_until());
     UpdateReady();
     if (owner_ != nullptr && !items.empty()) {
       owner_->OnOperatorsChanged();
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -56,7 +56,7 @@
   }
 
   void Plan() {
-    if (core_.is_resigning) {
+    if (core_.is_resigning || !core_.operators.IsCurrent(core_.port.Now())) {
       return;
     }
     const workload::PlanRequest request{
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -26,6 +26,10 @@
   /// @brief Orders a start, unless what was published since it was planned speaks against its
   /// worker. Precondition: it is recorded, and its run holds room.
   void OrderStart(const workload::PlannedStart& start) {
+    if (!core_.operators.IsCurrent(core_.port.Now())) {
+      RetryStart(start);
+      return;
+    }
     if (!core_.MayStartOn(start.worker)) {
       CallOff(start, "the worker takes no runs any more");
       return;
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -49,6 +49,11 @@
   /// read was sent.
   [[nodiscard]] std::optional<workload::SteadyTime> last_read_at() const { return last_read_at_; }
 
+  /// @brief When the last read that was answered had been sent, or the first page of the last load;
+  /// the view holds all that was stored before. Unlike last_read_at it does not depend on how long
+  /// an answer waited for this process. Precondition: the sink has been called once.
+  [[nodiscard]] workload::SteadyTime complete_until() const { return complete_until_; }
+
   /// @brief Whether the last read or load succeeded.
   [[nodiscard]] bool is_healthy() const { return is_loaded_ && failures_ == 0; }
 
@@ -74,6 +79,7 @@
   void LoadPage(const std::string& after_key) {
     if (after_key.empty()) {
       loaded_.clear();
+      load_sent_at_ = port_.Now();
     }
     port_.Call(endpoint_.address, Platform::NewestRequest(endpoint_.topic, after_key), kLoadTimeout,
                life_.Wrap([this, after_key](const net::ClientResult& result) {
@@ -107,6 +113,7 @@
       }
     }
     next_offset_ = load_end_;
+    complete_until_ = load_sent_at_;
     is_loaded_ = true;
     must_reload_ = false;
     const auto alive = life_.watch();
@@ -126,10 +133,12 @@
     port_.Call(endpoint_.address,
                Platform::ReadRequest(endpoint_.topic, next_offset_, options_.wait),
                options_.wait + kReadSlack,
-               life_.Wrap([this](const net::ClientResult& result) { OnBatch(result); }));
+               life_.Wrap([this, sent_at = port_.Now()](const net::ClientResult& result) {
+                 OnBatch(sent_at, result);
+               }));
   }
 
-  void OnBatch(const net::ClientResult& result) {
+  void OnBatch(workload::SteadyTime sent_at, const net::ClientResult& result) {
     if (Platform::HasExpired(result)) {
       logging::LogEvent(logging::LogLevel::kInfo, "topic_records_expired",
                         {{"topic", endpoint_.topic}, {"next_offset", next_offset_}});
@@ -146,6 +155,7 @@
       return;
     }
     NoteSuccess();
+    complete_until_ = sent_at;
     const bool has_records = !batch->items.empty();
     if (has_records) {
       next_offset_ = batch->items.back().offset + 1;
@@ -209,6 +219,8 @@
   bool must_reload_ = false;
   std::uint32_t failures_ = 0;
   std::optional<workload::SteadyTime> last_read_at_;
+  workload::SteadyTime load_sent_at_;
+  workload::SteadyTime complete_until_;
   LifeGuard life_;
 };
 
--- a/tests/entry/start_recheck_test.cc
+++ b/tests/entry/start_recheck_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using standin::StandInCluster;
+using standin::StandInStore;
 using workload::Milliseconds;
 
 constexpr const char* kJob = "00000000000000a1";
@@ -112,5 +113,20 @@
   EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(3'000)));
 }
 
+// Guards against starts in an evacuated data centre by an owner that still writes to the store and
+// gets no answers to its reads of what operators write.
+TEST_F(StartRecheckTest, Submit_WhereTheOperatorsItemsAreNotRead_DoesNotStart) {
+  cluster_.port(owner_).LoseAnswersOf("/log-read?topic=keyed.op");
+  Evacuate();
+  cluster_.RunFor(Milliseconds(5'000));
+  ASSERT_EQ(cluster_.Submit(owner_, kJob, kOneTask)->status, kOk);
+  cluster_.RunFor(kRepeats);
+  EXPECT_EQ(cluster_.OwnerIndex(), owner_);
+  EXPECT_EQ(cluster_.StartsOf(kTask), 0);
+  cluster_.port(owner_).Heal(StandInStore::kAddress);
+  TakeEvacuationBack();
+  EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(5'000)));
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
--- a/tests/standin/sim_port.h
+++ b/tests/standin/sim_port.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "entry/port/call_port.h"
 #include "standin/sim_world.h"
@@ -44,6 +45,25 @@
   [[nodiscard]] workload::SteadyTime Now() const { return world_.now(); }
   [[nodiscard]] std::int64_t UnixNowMs() const { return world_.unix_now_ms(); }
 
+  /// @brief Suspends the instance, as a frozen process is: its timers, the answers to its calls and
+  /// the requests to it wait for Thaw, while the clock goes on.
+  void Freeze() { is_frozen_ = true; }
+  /// @brief Lets the instance go on with all that has waited, in order.
+  void Thaw() {
+    is_frozen_ = false;
+    for (const auto& it : std::exchange(held_, {})) {
+      it();
+    }
+  }
+  /// @brief Runs an action of the instance now, or at Thaw.
+  void WhenAwake(std::function<void()> action) {
+    if (is_frozen_) {
+      held_.push_back(std::move(action));
+    } else {
+      action();
+    }
+  }
+
   /// @brief Calls to the address get no answer and do not arrive, until Heal.
   void Cut(const std::string& address) { cut_.insert(address); }
   /// @brief Calls to the address arrive, and their answers are lost, until Heal.
@@ -66,9 +86,9 @@
   };
 
   std::function<void()> Live(std::function<void()> action) {
-    return [alive = std::weak_ptr<bool>(alive_), action = std::move(action)] {
+    return [this, alive = std::weak_ptr<bool>(alive_), action = std::move(action)] {
       if (!alive.expired()) {
-        action();
+        WhenAwake(action);
       }
     };
   }
@@ -109,6 +129,8 @@
   std::set<std::string> cut_;
   std::set<std::string> mute_;
   std::set<std::string> mute_targets_;
+  bool is_frozen_ = false;
+  std::vector<std::function<void()>> held_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -115,7 +115,10 @@
                             SimWorld::Reply reply) {
   const std::uint64_t exchange = ++last_exchange_;
   replies_.emplace(exchange, std::move(reply));
-  instances_[instance].state->OnRequest({net::ExchangeId(exchange), request});
+  State& state = *instances_[instance].state;
+  instances_[instance].port->WhenAwake([&state, exchange, request] {
+    state.OnRequest({net::ExchangeId(exchange), request});
+  });
 }
 
 void StandInCluster::Deliver(std::uint64_t exchange, net::HttpResponse response) {
