Log why an urgent step within its team's guarantee waits

The log tells when a job starts and what is stopped for it. The plan now names such steps once they have waited for a second, with what the team is guaranteed and holds, what is free, what may still be stopped, what teams hold beyond their guarantees, and whether the step has a claim or waits for one rack; the owner logs each as guaranteed_step_waits. The order of work and the stops are unchanged.

--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -16,9 +16,15 @@
   std::vector<std::uint32_t> task_indexes;
   /// Unix time since when the tasks are wanted.
   std::int64_t due_at_ms = 0;
+  /// Urgent, and its team stays within its guarantee with it.
+  bool is_guaranteed = false;
 
   [[nodiscard]] const StepSpec& spec() const { return job->submission->steps[step.step]; }
   [[nodiscard]] std::uint32_t priority() const { return job->submission->queue.priority; }
+  /// @brief What its tasks need together.
+  [[nodiscard]] std::int64_t Accelerators() const {
+    return static_cast<std::int64_t>(task_indexes.size()) * spec().per_task.accelerators;
+  }
 };
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/room_claim.h"
 #include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/team_access.h"
 #include "clementineloom/workload/worker_pool.h"
 
 namespace clementineloom::workload {
@@ -24,6 +26,8 @@
   const std::vector<RoomClaim>& claims;
   SteadyTime now;
   std::int64_t unix_now_ms = 0;
+  /// All teams, with what each is guaranteed for its urgent jobs.
+  std::span<const TeamAccess> teams = {};
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/queue.h
+++ b/include/clementineloom/workload/queue.h
@@ -6,6 +6,9 @@
 
 namespace clementineloom::workload {
 
+/// Queues of this priority are urgent: they may stop the runs of others.
+inline constexpr std::uint32_t kPreemptingPriority = 0;
+
 /// @brief A queue of jobs and the path under which callers reach it. An immutable value.
 struct Queue {
   std::string name;
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "clementineloom/workload/advice_question.h"
+#include "clementineloom/workload/guarantee_wait.h"
 #include "clementineloom/workload/planned_start.h"
 #include "clementineloom/workload/preemption.h"
 #include "clementineloom/workload/room_claim.h"
@@ -17,6 +18,8 @@
   std::vector<Preemption> preemptions;
   /// Where urgent tasks wait for room; the next plan has to know them.
   std::vector<RoomClaim> claims;
+  /// Urgent steps within their guarantees that have waited for long.
+  std::vector<GuaranteeWait> waits;
   /// Question for the most urgent step that lacks approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,9 +63,10 @@
     }
     const workload::PlanRequest request{
         core_.jobs, core_.workers,    core_.operators.evacuated(), core_.advice,
-        claims_,    core_.port.Now(), core_.port.UnixNowMs()};
+        claims_,    core_.port.Now(), core_.port.UnixNowMs(),      Teams()};
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
+    NoteWaits(plan.waits);
     if (plan.question && !is_asking_) {
       Ask(*plan.question);
     }
@@ -75,6 +78,39 @@
     }
   }
 
+  std::span<const workload::TeamAccess> Teams() const {
+    const auto& config = core_.operators.config();
+    return config ? std::span<const workload::TeamAccess>(config->teams)
+                  : std::span<const workload::TeamAccess>();
+  }
+
+  // Logs a step once, for as long as it goes on waiting.
+  void NoteWaits(const std::vector<workload::GuaranteeWait>& waits) {
+    std::set<workload::StepId> waiting;
+    for (const workload::GuaranteeWait& it : waits) {
+      if (waiting.insert(it.step).second && !waiting_.contains(it.step)) {
+        LogWait(it);
+      }
+    }
+    waiting_ = std::move(waiting);
+  }
+
+  static void LogWait(const workload::GuaranteeWait& wait) {
+    logging::LogEvent(logging::LogLevel::kWarning, "guaranteed_step_waits",
+                      {{"job", wait.step.job},
+                       {"step", wait.step.step},
+                       {"team", wait.team},
+                       {"waited_ms", wait.waited_ms},
+                       {"guaranteed", wait.guaranteed},
+                       {"held", wait.held},
+                       {"needed", wait.needed},
+                       {"free", wait.free},
+                       {"stoppable", wait.stoppable},
+                       {"borrowed", wait.borrowed},
+                       {"claims", wait.claims},
+                       {"one_rack", wait.prefers_one_rack}});
+  }
+
   void Preempt(const workload::Preemption& preemption) {
     logging::LogEvent(logging::LogLevel::kInfo, "run_preempted",
                       {{"task", codec::TaskName(preemption.run.task)},
@@ -162,6 +198,8 @@
   WorkerOrders<Platform, Port>& orders_;
   // Where urgent tasks wait for room, by the last plan.
   std::vector<workload::RoomClaim> claims_;
+  // Steps within their guarantees that the last plan found waiting.
+  std::set<workload::StepId> waiting_;
   bool is_plan_due_ = false;
   // When the last plan ended, and the time that it took.
   workload::SteadyTime planned_at_;
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -6,10 +6,12 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
+#include "clementineloom/workload/detail/wait_description.h"
 
 namespace clementineloom::workload {
 namespace {
@@ -23,8 +25,6 @@
 // Shortest wait for a place near the data or on one rack; the longer wait is the estimate of the
 // task, because away from there it takes a multiple of that.
 constexpr std::int64_t kMinWaitForRackMs = 500;
-// Queues of this priority may stop the runs of others.
-constexpr std::uint32_t kPreemptingPriority = 0;
 // Longest wait of such a queue for a rack, a fraction of the time in which it has to begin.
 constexpr std::int64_t kMaxUrgentWaitMs = 700;
 // Workers named in a question: enough to find room, and each costs the service time.
@@ -33,8 +33,8 @@
 // One planning pass: the room that is left, and what was decided so far.
 class Pass {
  public:
-  explicit Pass(const PlanRequest& request)
-      : request_(request), rooms_(request), claims_(request, rooms_) {}
+  Pass(const PlanRequest& request, detail::GuaranteeTable& guarantees)
+      : request_(request), guarantees_(guarantees), rooms_(request), claims_(request, rooms_) {}
 
   // Keeps what the last plan claimed for urgent steps from those that are placed before them.
   void Hold(const std::vector<StartCandidate>& steps) {
@@ -62,6 +62,9 @@
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
       AskAbout(step);
     }
+    if (!is_whole && step.is_guaranteed) {
+      NoteWait(step);
+    }
   }
 
   StartPlan Take() {
@@ -71,6 +74,13 @@
   }
 
  private:
+  void NoteWait(const StartCandidate& step) {
+    auto wait = detail::DescribeWait(step, request_, rooms_, claims_, guarantees_);
+    if (wait) {
+      plan_.waits.push_back(std::move(*wait));
+    }
+  }
+
   PlannedStart StartOn(const WorkerRoom& room, const StartCandidate& step, std::uint32_t index,
                        std::uint64_t run, const std::string& checkpoint) const {
     const std::string& worker = room.worker->info.id;
@@ -193,6 +203,7 @@
   }
 
   const PlanRequest& request_;
+  detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
   StartPlan plan_;
@@ -201,12 +212,16 @@
 }  // namespace
 
 StartPlan PlanStarts(const PlanRequest& request) {
-  const std::vector<StartCandidate> candidates =
+  std::vector<StartCandidate> candidates =
       detail::StartCandidates(request.jobs, request.workers, request.unix_now_ms);
   if (candidates.empty()) {
     return {};
   }
-  Pass pass(request);
+  detail::GuaranteeTable guarantees(request);
+  for (StartCandidate& it : candidates) {
+    it.is_guaranteed = guarantees.Admit(it);
+  }
+  Pass pass(request, guarantees);
   pass.Hold(candidates);
   for (const StartCandidate& it : candidates) {
     pass.Place(it);
