Reclaim what teams use beyond their guarantees for teams within theirs

Cause: the guarantee of a team was read from the configuration, and nothing planned with it. Urgent steps were placed by their due time, and only runs of less urgent queues were ever stopped. Once urgent work of other teams had filled the fleet, beyond what those are guaranteed, a team within its own waited for one of their runs to end.

Change: an urgent step counts as guaranteed while its team, with what its urgent runs hold, stays within its guarantee. Such steps are placed and get their claims before all other work. If less urgent runs don't make enough room, runs of teams beyond their guarantees are stopped, the least urgent work first lost, gangs whole, and never so much that a team falls below what it is guaranteed. A team that loses a run this way is at or beyond its guarantee, so that its own step can't stop others in turn. This holds for any team whose open urgent jobs fit into its guarantee, since what runs is at most what is open; it also gives a team with more work its guaranteed part. Runs of public queues and of teams that were removed have no guarantee.

--- a/include/clementineloom/workload/detail/guarantee_share.h
+++ b/include/clementineloom/workload/detail/guarantee_share.h
@@ -18,6 +18,11 @@
     return guaranteed > 0 && held + more <= guaranteed;
   }
 
+  /// @brief Whether the team keeps what it is guaranteed without so many of those that it holds.
+  [[nodiscard]] bool CanLose(std::int64_t amount) const {
+    return held > guaranteed && held - amount >= guaranteed;
+  }
+
   /// @brief What the team holds beyond its guarantee.
   [[nodiscard]] std::int64_t Borrowed() const { return held > guaranteed ? held - guaranteed : 0; }
 };
--- a/include/clementineloom/workload/detail/guarantee_table.h
+++ b/include/clementineloom/workload/detail/guarantee_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,8 @@
   /// them. @return whether it does
   bool Admit(const StartCandidate& step);
 
-  /// @brief The team of a job. Precondition: its submission is set.
-  [[nodiscard]] Team TeamOf(const JobEntry& job);
+  /// @brief The team of a job, or nothing if no team of that name has a share.
+  [[nodiscard]] std::optional<Team> TeamOf(const JobEntry& job) const;
 
   [[nodiscard]] const std::vector<GuaranteeShare>& shares() const { return shares_; }
 
@@ -37,6 +38,7 @@
 
  private:
   void CountRuns(const PlanRequest& request);
+  GuaranteeShare& ShareOf(const std::string& team);
 
   std::vector<GuaranteeShare> shares_;
   std::map<std::string, Team, std::less<>> teams_;
--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/worker_room.h"
 #include "clementineloom/workload/plan_request.h"
 
@@ -27,9 +28,8 @@
   /// @brief The room of a worker, or null if it takes no runs.
   [[nodiscard]] WorkerRoom* Find(const std::string& worker) const;
 
-  /// @brief Lists the runs that may be stopped for a more urgent task, once for the plan.
-  /// @param priority of that task; only larger numbers are stopped
-  void ListVictims(std::uint32_t priority);
+  /// @brief Lists the runs that may be stopped for urgent tasks, once for the plan.
+  void ListVictims(const GuaranteeTable& guarantees);
 
   /// @brief Stops a run, and with it the other members of its gang, wherever they run.
   void Stop(WorkerRoom& room, const PlacedRun& run);
--- /dev/null
+++ b/include/clementineloom/workload/detail/stop_cost.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace clementineloom::workload::detail {
+
+/// @brief What stops throw away. Any loss of urgent work weighs more than all other losses. An
+/// immutable value.
+struct StopCost {
+  /// Core-milliseconds of urgent work.
+  std::int64_t urgent = 0;
+  /// Core-milliseconds of other work; more than any of it for a service task.
+  std::int64_t other = 0;
+
+  friend auto operator<=>(const StopCost&, const StopCost&) = default;
+  friend StopCost operator+(const StopCost& a, const StopCost& b) {
+    return {a.urgent + b.urgent, a.other + b.other};
+  }
+};
+
+}  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "clementineloom/workload/detail/guarantee_table.h"
+#include "clementineloom/workload/detail/reclaim_budget.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/preemption.h"
@@ -21,8 +23,8 @@
 /// Thread safety: none.
 class UrgentClaims {
  public:
-  /// @param request and rooms have to outlive it
-  UrgentClaims(const PlanRequest& request, RoomTable& rooms);
+  /// @param request, rooms and guarantees have to outlive it; guarantees with all steps admitted
+  UrgentClaims(const PlanRequest& request, RoomTable& rooms, const GuaranteeTable& guarantees);
 
   /// @brief Keeps the room that the last plan claimed for a step from all other steps.
   void Hold(const StartCandidate& step);
@@ -40,12 +42,12 @@
  private:
   struct Choice {
     WorkerRoom* room = nullptr;
-    std::vector<const PlacedRun*> victims;
-    std::int64_t cost = 0;
+    std::vector<Victim> victims;
+    StopCost cost;
   };
   struct RackClaim {
     std::vector<Choice> choices;
-    std::int64_t cost = 0;
+    StopCost cost;
   };
 
   // Holds an amount for each task in the room that the last plan claimed for it.
@@ -61,11 +63,14 @@
                                                const TaskId& task) const;
   // Where the least work is lost for one task.
   [[nodiscard]] std::optional<Choice> Choose(const std::vector<WorkerRoom*>& rooms,
-                                             const StartCandidate& step) const;
+                                             const StartCandidate& step,
+                                             const ReclaimBudget& budget) const;
   void Carry(const Choice& choice, const StartCandidate& step, std::uint32_t index);
 
   const PlanRequest& request_;
   RoomTable& rooms_;
+  const GuaranteeTable& guarantees_;
+  ReclaimBudget budget_;
   std::vector<Preemption> preemptions_;
   std::vector<RoomClaim> claims_;
   std::map<TaskId, WorkerRoom*> last_rooms_;
--- a/include/clementineloom/workload/detail/victim.h
+++ b/include/clementineloom/workload/detail/victim.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
+#include "clementineloom/workload/detail/stop_cost.h"
 #include "clementineloom/workload/placed_run.h"
 
 namespace clementineloom::workload::detail {
@@ -10,9 +13,13 @@
 struct Victim {
   /// In the worker's runs, which have to outlive it.
   const PlacedRun* run = nullptr;
-  /// Core-milliseconds of work that its stop throws away, in the whole gang if it is of one.
-  std::int64_t cost = 0;
+  /// Work that its stop throws away, in the whole gang if it is of one.
+  StopCost cost;
   bool is_of_gang = false;
+  /// For urgent work, which may be stopped as far as its team is beyond its guarantee: the index of
+  /// the team's share, and the accelerators that the team loses, those of the whole gang.
+  std::optional<std::size_t> team;
+  std::int64_t accelerators = 0;
 };
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/victim_search.h
+++ b/include/clementineloom/workload/detail/victim_search.h
@@ -1,33 +1,36 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "clementineloom/workload/detail/guarantee_table.h"
+#include "clementineloom/workload/detail/reclaim_budget.h"
 #include "clementineloom/workload/detail/service_budget.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/victim.h"
 #include "clementineloom/workload/detail/victim_set.h"
 #include "clementineloom/workload/detail/worker_room.h"
-#include "clementineloom/workload/job_table.h"
-#include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/plan_request.h"
 
 namespace clementineloom::workload::detail {
 
-/// @brief The runs on a worker that may be stopped for a task of a priority, the cheapest first.
+/// @brief The runs on a worker that may be stopped for an urgent task, the cheapest first: less
+/// urgent ones, and urgent ones as far as a budget of their team's guarantee allows.
 ///
 /// A member of a gang counts with the work of the whole gang. Service tasks are listed as far as
 /// their budget goes, behind all others. Complexity: O(runs * log(runs)).
-[[nodiscard]] std::vector<Victim> VictimsOn(const PoolWorker& worker, std::uint32_t priority,
-                                            const JobTable& jobs, SteadyTime now,
+[[nodiscard]] std::vector<Victim> VictimsOn(const PoolWorker& worker, const PlanRequest& request,
+                                            const GuaranteeTable& guarantees,
                                             ServiceBudget& services);
 
 /// @brief The cheapest victims whose end makes room for one more task of a step on a worker; an
 /// empty set if there is room once the runs that are being stopped have ended.
 ///
-/// Precondition: the victims of the room are listed. Complexity: O(victims).
+/// Urgent runs are stopped only for a step within its guarantee.
+/// Precondition: the victims of the room are listed. Complexity: O(victims^2).
 /// @return nothing if no set makes enough room
 [[nodiscard]] std::optional<VictimSet> FindVictims(const WorkerRoom& room,
-                                                   const StartCandidate& step);
+                                                   const StartCandidate& step,
+                                                   const ReclaimBudget& budget);
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/wait_description.h
+++ b/include/clementineloom/workload/detail/wait_description.h
@@ -17,6 +17,6 @@
                                                         const PlanRequest& request,
                                                         const RoomTable& rooms,
                                                         const UrgentClaims& claims,
-                                                        GuaranteeTable& guarantees);
+                                                        const GuaranteeTable& guarantees);
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/victim.h"
 #include "clementineloom/workload/pool_worker.h"
 #include "clementineloom/workload/resources.h"
@@ -22,9 +23,12 @@
   Resources free_later;
   /// Tasks of steps that this plan has placed here, beside those in worker->runs.
   std::map<StepId, std::uint32_t> planned;
-  /// Runs that may be stopped, the cheapest first, and their room; empty until they are listed.
+  /// Runs that may be stopped, the cheapest first, and the room of the less urgent ones; empty
+  /// until they are listed.
   std::vector<Victim> victims;
   Resources stoppable;
+  /// Room of the urgent ones among them.
+  Resources reclaimable;
   /// Whether tasks run or are planned here that serve users or that fill idle processors.
   bool has_service_tasks = false;
   bool has_fill_tasks = false;
@@ -34,6 +38,19 @@
     return worker->CountOf(step) + (it == planned.end() ? 0 : it->second);
   }
 
+  /// @brief The most room that there is for a step once all that may be stopped for it has ended.
+  [[nodiscard]] Resources FreeableFor(const StartCandidate& step) const {
+    const Resources without_urgent = free_later + stoppable;
+    return step.is_guaranteed ? without_urgent + reclaimable : without_urgent;
+  }
+
+  /// @brief Adds a run that may be stopped.
+  void List(const Victim& victim) {
+    Resources& room = victim.team ? reclaimable : stoppable;
+    room = room + victim.run->reserved;
+    victims.push_back(victim);
+  }
+
   /// @brief Takes room for a task that starts now, or that starts here once there is room.
   void Take(const StepId& step, const StepSpec& spec) {
     free = free - spec.Reserved();
@@ -57,7 +74,8 @@
       return false;
     }
     free_later = free_later + it->run->reserved;
-    stoppable = stoppable - it->run->reserved;
+    Resources& room = it->team ? reclaimable : stoppable;
+    room = room - it->run->reserved;
     victims.erase(it);
     return true;
   }
--- a/src/workload/detail/guarantee_table.cc
+++ b/src/workload/detail/guarantee_table.cc
@@ -22,7 +22,7 @@
       }
       const JobEntry* job = request.jobs.Find(run.task.step.job);
       if (job != nullptr && job->submission) {
-        shares_[TeamOf(*job)].held += placed.reserved.accelerators;
+        ShareOf(job->submission->team).held += placed.reserved.accelerators;
       }
     }
   }
@@ -30,7 +30,7 @@
 
 bool GuaranteeTable::Admit(const StartCandidate& step) {
   const std::int64_t needed = step.Accelerators();
-  GuaranteeShare& share = shares_[TeamOf(*step.job)];
+  GuaranteeShare& share = ShareOf(step.job->submission->team);
   if (step.priority() != kPreemptingPriority || !share.Covers(needed)) {
     return false;
   }
@@ -38,13 +38,18 @@
   return true;
 }
 
-GuaranteeTable::Team GuaranteeTable::TeamOf(const JobEntry& job) {
-  const auto [it, is_new] = teams_.emplace(job.submission->team, shares_.size());
+std::optional<GuaranteeTable::Team> GuaranteeTable::TeamOf(const JobEntry& job) const {
+  const auto it = job.submission ? teams_.find(job.submission->team) : teams_.end();
+  return it == teams_.end() ? std::nullopt : std::optional(it->second);
+}
+
+GuaranteeShare& GuaranteeTable::ShareOf(const std::string& team) {
+  const auto [it, is_new] = teams_.emplace(team, shares_.size());
   if (is_new) {
     // A team that was removed, or none on a public queue: nothing is guaranteed.
     shares_.emplace_back();
   }
-  return it->second;
+  return shares_[it->second];
 }
 
 std::int64_t GuaranteeTable::Borrowed() const {
--- /dev/null
+++ b/src/workload/detail/reclaim_budget.cc
@@ -0,0 +1,47 @@
+#include "clementineloom/workload/detail/reclaim_budget.h"
+
+#include <algorithm>
+
+namespace clementineloom::workload::detail {
+namespace {
+
+bool AreOneGang(const Victim& a, const Victim& b) {
+  return a.is_of_gang && a.run->run.run == b.run->run.run &&
+         a.run->run.task.step == b.run->run.task.step;
+}
+
+}  // namespace
+
+bool ReclaimBudget::Allows(const Victim& victim, const std::vector<Victim>& chosen) const {
+  if (!victim.team || IsStopped(victim)) {
+    return true;
+  }
+  std::int64_t lost = victim.accelerators;
+  for (auto it = chosen.begin(); it != chosen.end(); ++it) {
+    if (AreOneGang(*it, victim)) {
+      return true;
+    }
+    const auto is_counted = [&](const Victim& other) { return AreOneGang(other, *it); };
+    if (it->team == victim.team && !IsStopped(*it) &&
+        std::none_of(chosen.begin(), it, is_counted)) {
+      lost += it->accelerators;
+    }
+  }
+  return shares_[*victim.team].CanLose(lost);
+}
+
+void ReclaimBudget::Stop(const Victim& victim) {
+  if (!victim.team || IsStopped(victim)) {
+    return;
+  }
+  shares_[*victim.team].held -= victim.accelerators;
+  if (victim.is_of_gang) {
+    gangs_.emplace(victim.run->run.task.step, victim.run->run.run);
+  }
+}
+
+bool ReclaimBudget::IsStopped(const Victim& victim) const {
+  return victim.is_of_gang && gangs_.contains({victim.run->run.task.step, victim.run->run.run});
+}
+
+}  // namespace clementineloom::workload::detail
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -55,15 +55,14 @@
   return it == all_.end() || (*it)->worker->info.id != worker ? nullptr : *it;
 }
 
-void RoomTable::ListVictims(std::uint32_t priority) {
+void RoomTable::ListVictims(const GuaranteeTable& guarantees) {
   if (std::exchange(has_victims_, true)) {
     return;
   }
   ServiceBudget services(request_);
   for (WorkerRoom& room : rooms_) {
-    room.victims = VictimsOn(*room.worker, priority, request_.jobs, request_.now, services);
-    for (const Victim& it : room.victims) {
-      room.stoppable = room.stoppable + it.run->reserved;
+    for (const Victim& it : VictimsOn(*room.worker, request_, guarantees, services)) {
+      room.List(it);
       if (it.is_of_gang) {
         gangs_[{it.run->run.task.step, it.run->run.run}].emplace_back(&room, it.run);
       }
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -8,8 +8,9 @@
 
 namespace clementineloom::workload::detail {
 
-UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms)
-    : request_(request), rooms_(rooms) {
+UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms,
+                           const GuaranteeTable& guarantees)
+    : request_(request), rooms_(rooms), guarantees_(guarantees), budget_(guarantees.shares()) {
   for (const RoomClaim& it : request.claims) {
     if (WorkerRoom* room = rooms.Find(it.worker)) {
       last_rooms_.emplace(it.task, room);
@@ -41,11 +42,11 @@
   WorkerRoom* room = LastRoom(task);
   const bool is_kept = room != nullptr && FitCount(*room, room->free_later, step) > 0 &&
                        IsAllowed(*room, step, request_);
-  return is_kept ? std::optional(Choice{room, {}, 0}) : std::nullopt;
+  return is_kept ? std::optional(Choice{room, {}, {}}) : std::nullopt;
 }
 
 void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed) {
-  rooms_.ListVictims(step.priority());
+  rooms_.ListVictims(guarantees_);
   if (step.spec().prefers_one_rack) {
     MakeRoomOnOneRack(step);
     return;
@@ -53,7 +54,7 @@
   for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
     auto choice = KeepLast(step, {step.step, step.task_indexes[n]});
     if (!choice) {
-      choice = Choose(rooms_.On({}), step);
+      choice = Choose(rooms_.On({}), step, budget_);
     }
     if (!choice) {
       return;
@@ -68,7 +69,7 @@
     best = TryRack(step, rooms_.On(last->worker->info.rack));
   }
   for (const auto& [name, rack] : rooms_.racks()) {
-    if (best && best->cost == 0) {
+    if (best && best->cost == StopCost{}) {
       break;
     }
     auto claim = TryRack(step, rack);
@@ -88,7 +89,7 @@
   const auto needed = static_cast<std::int64_t>(step.task_indexes.size());
   std::int64_t fits = 0;
   for (const WorkerRoom* it : rack) {
-    fits += FitCount(*it, it->free_later + it->stoppable, step);
+    fits += FitCount(*it, it->FreeableFor(step), step);
   }
   if (fits < needed) {
     return std::nullopt;
@@ -101,35 +102,38 @@
     trial.push_back(&copies.emplace_back(*it));
     originals[trial.back()] = it;
   }
+  ReclaimBudget budget = budget_;
   RackClaim claim;
   for (std::int64_t n = 0; n < needed; ++n) {
-    auto choice = Choose(trial, step);
+    auto choice = Choose(trial, step, budget);
     if (!choice) {
       return std::nullopt;
     }
-    for (const PlacedRun* it : choice->victims) {
-      choice->room->Stop(*it);
+    for (const Victim& it : choice->victims) {
+      choice->room->Stop(*it.run);
+      budget.Stop(it);
     }
     choice->room->Take(step.step, step.spec());
     choice->room = originals.at(choice->room);
-    claim.cost += choice->cost;
+    claim.cost = claim.cost + choice->cost;
     claim.choices.push_back(std::move(*choice));
   }
   return claim;
 }
 
 std::optional<UrgentClaims::Choice> UrgentClaims::Choose(const std::vector<WorkerRoom*>& rooms,
-                                                         const StartCandidate& step) const {
+                                                         const StartCandidate& step,
+                                                         const ReclaimBudget& budget) const {
   const Resources needed = step.spec().Reserved();
   std::optional<Choice> best;
   for (WorkerRoom* it : rooms) {
-    if (!needed.FitsIn(it->free_later + it->stoppable) || !IsAllowed(*it, step, request_)) {
+    if (!needed.FitsIn(it->FreeableFor(step)) || !IsAllowed(*it, step, request_)) {
       continue;
     }
-    auto victims = FindVictims(*it, step);
+    auto victims = FindVictims(*it, step, budget);
     if (victims && (!best || victims->cost < best->cost)) {
-      best = Choice{it, std::move(victims->runs), victims->cost};
-      if (best->cost == 0) {
+      best = Choice{it, std::move(victims->victims), victims->cost};
+      if (best->cost == StopCost{}) {
         break;
       }
     }
@@ -138,9 +142,10 @@
 }
 
 void UrgentClaims::Carry(const Choice& choice, const StartCandidate& step, std::uint32_t index) {
-  for (const PlacedRun* it : choice.victims) {
-    rooms_.Stop(*choice.room, *it);
-    preemptions_.push_back({choice.room->worker->info.id, it->run, {step.step, index}});
+  for (const Victim& it : choice.victims) {
+    budget_.Stop(it);
+    rooms_.Stop(*choice.room, *it.run);
+    preemptions_.push_back({choice.room->worker->info.id, it.run->run, {step.step, index}});
   }
   choice.room->Take(step.step, step.spec());
   claims_.push_back({{step.step, index}, choice.room->worker->info.id});
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "clementineloom/workload/detail/ends_soon.h"
 
@@ -16,7 +17,7 @@
 // A run that saves its progress loses about this much of it.
 constexpr Milliseconds kUnsavedWork{500};
 
-std::int64_t CostOf(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
+std::int64_t LostWork(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
   if (spec.runs_until_cancelled) {
     return kServiceCost;
   }
@@ -27,8 +28,30 @@
   const std::int64_t cores = spec.per_task.cpu_millicores / kMillicoresPerCore +
                              kCoresPerAccelerator * spec.per_task.accelerators;
   const std::int64_t members = spec.is_gang ? spec.task_count : 1;
-  // Counts at least a moment, so that fewer victims are better.
-  return std::max<std::int64_t>(lost.count(), 1) * cores * members;
+  // Counts at least a moment of one core, so that fewer victims are better.
+  return std::max<std::int64_t>(lost.count(), 1) * std::max<std::int64_t>(cores * members, 1);
+}
+
+// The run as a victim, or nothing if it may not be stopped at all.
+std::optional<Victim> VictimOf(const PlacedRun& run, const PlanRequest& request,
+                               const GuaranteeTable& guarantees) {
+  const JobEntry* job = request.jobs.Find(run.run.task.step.job);
+  const StepSpec* spec = request.jobs.FindStep(run.run.task.step);
+  if (spec == nullptr) {
+    return std::nullopt;
+  }
+  const std::int64_t lost = LostWork(run, *spec, request.now);
+  if (run.priority > kPreemptingPriority) {
+    return Victim{&run, {0, lost}, spec->is_gang, {}, 0};
+  }
+  const Victim victim{&run,
+                      {lost, 0},
+                      spec->is_gang,
+                      guarantees.TeamOf(*job),
+                      spec->per_task.accelerators * (spec->is_gang ? spec->task_count : 1)};
+  const bool is_beyond =
+      victim.team && guarantees.shares()[*victim.team].CanLose(victim.accelerators);
+  return is_beyond ? std::optional(victim) : std::nullopt;
 }
 
 // Leaves out runs whose room is not needed after all, the dearest first.
@@ -45,16 +68,17 @@
 
 }  // namespace
 
-std::vector<Victim> VictimsOn(const PoolWorker& worker, std::uint32_t priority,
-                              const JobTable& jobs, SteadyTime now, ServiceBudget& services) {
+std::vector<Victim> VictimsOn(const PoolWorker& worker, const PlanRequest& request,
+                              const GuaranteeTable& guarantees, ServiceBudget& services) {
   std::vector<Victim> victims;
   for (const auto& [id, run] : worker.runs) {
-    if (run.stage == RunStage::kStopping || run.priority <= priority || EndsSoon(run, now)) {
+    if (run.stage == RunStage::kStopping || EndsSoon(run, request.now)) {
       continue;
     }
-    const StepSpec* spec = jobs.FindStep(id.task.step);
-    if (spec != nullptr && (!spec->runs_until_cancelled || services.Take(run))) {
-      victims.push_back({&run, CostOf(run, *spec, now), spec->is_gang});
+    const auto victim = VictimOf(run, request, guarantees);
+    const StepSpec* spec = request.jobs.FindStep(id.task.step);
+    if (victim && (!spec->runs_until_cancelled || services.Take(run))) {
+      victims.push_back(*victim);
     }
   }
   std::stable_sort(victims.begin(), victims.end(),
@@ -62,10 +86,11 @@
   return victims;
 }
 
-std::optional<VictimSet> FindVictims(const WorkerRoom& room, const StartCandidate& step) {
+std::optional<VictimSet> FindVictims(const WorkerRoom& room, const StartCandidate& step,
+                                     const ReclaimBudget& budget) {
   const StepSpec& spec = step.spec();
   const Resources needed = spec.Reserved();
-  if (!needed.FitsIn(room.free_later + room.stoppable) ||
+  if (!needed.FitsIn(room.FreeableFor(step)) ||
       (spec.max_per_worker > 0 && room.CountOf(step.step) >= spec.max_per_worker)) {
     return std::nullopt;
   }
@@ -75,16 +100,21 @@
     if (needed.FitsIn(freed)) {
       break;
     }
+    if (it.team && !(step.is_guaranteed && budget.Allows(it, chosen))) {
+      continue;
+    }
     freed = freed + it.run->reserved;
     chosen.push_back(it);
   }
+  if (!needed.FitsIn(freed)) {
+    return std::nullopt;
+  }
   DropNeedless(chosen, freed, needed);
-  VictimSet victims;
-  for (const Victim& it : chosen) {
-    victims.runs.push_back(it.run);
-    victims.cost += it.cost;
+  VictimSet set{std::move(chosen), {}};
+  for (const Victim& it : set.victims) {
+    set.cost = set.cost + it.cost;
   }
-  return victims;
+  return set;
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/wait_description.cc
+++ b/src/workload/detail/wait_description.cc
@@ -12,13 +12,13 @@
 
 std::optional<GuaranteeWait> DescribeWait(const StartCandidate& step, const PlanRequest& request,
                                           const RoomTable& rooms, const UrgentClaims& claims,
-                                          GuaranteeTable& guarantees) {
+                                          const GuaranteeTable& guarantees) {
   const std::int64_t waited_ms = request.unix_now_ms - step.due_at_ms;
   // Later steps have not waited since the job was due.
   if (waited_ms < kLongWaitMs || !step.spec().depends_on.empty()) {
     return std::nullopt;
   }
-  const GuaranteeShare& share = guarantees.shares()[guarantees.TeamOf(*step.job)];
+  const GuaranteeShare& share = guarantees.shares()[guarantees.TeamOf(*step.job).value()];
   GuaranteeWait wait{step.step,  step.job->submission->team, waited_ms, share.guaranteed,
                      share.held, step.Accelerators()};
   for (const WorkerRoom* it : rooms.On({})) {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,18 +34,32 @@
 // One planning pass: the room that is left, and what was decided so far.
 class Pass {
  public:
-  Pass(const PlanRequest& request, detail::GuaranteeTable& guarantees)
-      : request_(request), guarantees_(guarantees), rooms_(request), claims_(request, rooms_) {}
-
-  // Keeps what the last plan claimed for urgent steps from those that are placed before them.
-  void Hold(const std::vector<StartCandidate>& steps) {
+  Pass(const PlanRequest& request, const detail::GuaranteeTable& guarantees)
+      : request_(request),
+        guarantees_(guarantees),
+        rooms_(request),
+        claims_(request, rooms_, guarantees) {}
+
+  // Places steps of one rank. Keeps what the last plan claimed for the urgent ones among them from
+  // those that are placed before them.
+  void PlaceAll(std::span<const StartCandidate> steps) {
     for (const StartCandidate& it : steps) {
       if (it.priority() == kPreemptingPriority) {
         claims_.Hold(it);
       }
     }
+    for (const StartCandidate& it : steps) {
+      Place(it);
+    }
+  }
+
+  StartPlan Take() {
+    plan_.preemptions = claims_.preemptions();
+    plan_.claims = claims_.claims();
+    return std::move(plan_);
   }
 
+ private:
   void Place(const StartCandidate& step) {
     if (step.priority() == kPreemptingPriority) {
       claims_.Release(step);
@@ -67,13 +82,6 @@
     }
   }
 
-  StartPlan Take() {
-    plan_.preemptions = claims_.preemptions();
-    plan_.claims = claims_.claims();
-    return std::move(plan_);
-  }
-
- private:
   void NoteWait(const StartCandidate& step) {
     auto wait = detail::DescribeWait(step, request_, rooms_, claims_, guarantees_);
     if (wait) {
@@ -203,7 +211,7 @@
   }
 
   const PlanRequest& request_;
-  detail::GuaranteeTable& guarantees_;
+  const detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
   StartPlan plan_;
@@ -221,11 +229,12 @@
   for (StartCandidate& it : candidates) {
     it.is_guaranteed = guarantees.Admit(it);
   }
+  const auto rest = std::stable_partition(candidates.begin(), candidates.end(),
+                                          [](const auto& it) { return it.is_guaranteed; });
   Pass pass(request, guarantees);
-  pass.Hold(candidates);
-  for (const StartCandidate& it : candidates) {
-    pass.Place(it);
-  }
+  // Room that was cleared for work beyond a guarantee goes to work within one, if that needs it.
+  pass.PlaceAll({candidates.begin(), rest});
+  pass.PlaceAll({rest, candidates.end()});
   return pass.Take();
 }
 
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -30,7 +30,8 @@
                "priority":0,"maxAttempts":2,"public":false},
               {"name":"bulk","host":"h","pathPrefix":"/bulk/","service":"inspect",
                "priority":2,"maxAttempts":2,"public":true}],
-              "tenants":[{"name":"t","apiKeys":["key"],"guaranteed":{"gpus":8}}]})");
+              "tenants":[{"name":"t","apiKeys":["key"],"guaranteed":{"gpus":8}},
+                         {"name":"u","apiKeys":["other-key"],"guaranteed":{"gpus":2}}]})");
 }
 
 void StandInCluster::Register(const StandInWorker& worker, const std::string& state,
@@ -85,7 +86,7 @@
                                                      const std::string& body) {
   constexpr int kMaxWaitMs = 1'000;
   const std::uint64_t exchange = ++last_exchange_;
-  net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token key"),
+  net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token " + key_),
                            body, "h"};
   request.headers = request.headers.With("X-Clementineloom-Deadline-Ms", "900");
   instances_[instance].state->OnRequest({net::ExchangeId(exchange), std::move(request)});
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -26,7 +26,8 @@
   StandInCluster(int instances, int workers, workload::Milliseconds run_time,
                  bool same_seeds = false);
 
-  /// @brief Publishes a configuration with one queue for each of two priorities.
+  /// @brief Publishes a configuration with one queue for each of two priorities, a team that is
+  /// guaranteed 8 accelerators and one that is guaranteed 2.
   void PublishConfig(std::uint64_t version);
   void Register(const StandInWorker& worker, const std::string& state = "ready",
                 std::int64_t remaining_ms = 0);
@@ -38,6 +39,9 @@
   bool RunUntilState(const std::string& job, const std::string& state,
                      workload::Milliseconds timeout);
 
+  /// @brief Sends later requests with this key; "key" and "other-key" are of two teams.
+  void UseKey(std::string key) { key_ = std::move(key); }
+
   /// @brief Sends a request to an instance and runs until it is answered or a second is over.
   std::optional<net::HttpResponse> Ask(std::size_t instance, const std::string& method,
                                        const std::string& path, const std::string& body = {});
@@ -88,6 +92,7 @@
   void Deliver(std::uint64_t exchange, net::HttpResponse response);
 
   const bool same_seeds_;
+  std::string key_ = "key";
   std::vector<Instance> instances_;
   std::uint32_t last_seed_ = 0;
   std::uint64_t last_exchange_ = 0;
