--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -159,13 +159,13 @@
       return;
     }
     NoteSuccess();
-    complete_until_ = sent_at;
     const bool has_records = !batch->items.empty();
     if (has_records) {
       next_offset_ = batch->items.back().offset + 1;
     }
     if (next_offset_ >= batch->end_offset) {
       last_read_at_ = port_.Now();
+      complete_until_ = sent_at;
     }
     DropOlder(batch->items);
     const auto alive = life_.watch();
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,14 +2,17 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
+#include "clementineloom/workload/detail/wait_description.h"
 
 namespace clementineloom::workload {
 namespace {
@@ -23,8 +26,6 @@
 // Shortest wait for a place near the data or on one rack; the longer wait is the estimate of the
 // task, because away from there it takes a multiple of that.
 constexpr std::int64_t kMinWaitForRackMs = 500;
-// Queues of this priority may stop the runs of others.
-constexpr std::uint32_t kPreemptingPriority = 0;
 // Longest wait of such a queue for a rack, a fraction of the time in which it has to begin.
 constexpr std::int64_t kMaxUrgentWaitMs = 700;
 // Workers named in a question: enough to find room, and each costs the service time.
@@ -33,18 +34,32 @@
 // One planning pass: the room that is left, and what was decided so far.
 class Pass {
  public:
-  explicit Pass(const PlanRequest& request)
-      : request_(request), rooms_(request), claims_(request, rooms_) {}
-
-  // Keeps what the last plan claimed for urgent steps from those that are placed before them.
-  void Hold(const std::vector<StartCandidate>& steps) {
+  Pass(const PlanRequest& request, const detail::GuaranteeTable& guarantees)
+      : request_(request),
+        guarantees_(guarantees),
+        rooms_(request),
+        claims_(request, rooms_, guarantees) {}
+
+  // Places steps of one rank. Keeps what the last plan claimed for the urgent ones among them from
+  // those that are placed before them.
+  void PlaceAll(std::span<const StartCandidate> steps) {
     for (const StartCandidate& it : steps) {
       if (it.priority() == kPreemptingPriority) {
         claims_.Hold(it);
       }
     }
+    for (const StartCandidate& it : steps) {
+      Place(it);
+    }
+  }
+
+  StartPlan Take() {
+    plan_.preemptions = claims_.preemptions();
+    plan_.claims = claims_.claims();
+    return std::move(plan_);
   }
 
+ private:
   void Place(const StartCandidate& step) {
     if (step.priority() == kPreemptingPriority) {
       claims_.Release(step);
@@ -62,15 +77,18 @@
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
       AskAbout(step);
     }
+    if (!is_whole && step.is_guaranteed) {
+      NoteWait(step);
+    }
   }
 
-  StartPlan Take() {
-    plan_.preemptions = claims_.preemptions();
-    plan_.claims = claims_.claims();
-    return std::move(plan_);
+  void NoteWait(const StartCandidate& step) {
+    auto wait = detail::DescribeWait(step, request_, rooms_, claims_, guarantees_);
+    if (wait) {
+      plan_.waits.push_back(std::move(*wait));
+    }
   }
 
- private:
   PlannedStart StartOn(const WorkerRoom& room, const StartCandidate& step, std::uint32_t index,
                        std::uint64_t run, const std::string& checkpoint) const {
     const std::string& worker = room.worker->info.id;
@@ -193,6 +211,7 @@
   }
 
   const PlanRequest& request_;
+  const detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
   StartPlan plan_;
@@ -201,16 +220,21 @@
 }  // namespace
 
 StartPlan PlanStarts(const PlanRequest& request) {
-  const std::vector<StartCandidate> candidates =
+  std::vector<StartCandidate> candidates =
       detail::StartCandidates(request.jobs, request.workers, request.unix_now_ms);
   if (candidates.empty()) {
     return {};
   }
-  Pass pass(request);
-  pass.Hold(candidates);
-  for (const StartCandidate& it : candidates) {
-    pass.Place(it);
+  detail::GuaranteeTable guarantees(request);
+  for (StartCandidate& it : candidates) {
+    it.is_guaranteed = guarantees.Admit(it);
   }
+  const auto rest = std::stable_partition(candidates.begin(), candidates.end(),
+                                          [](const auto& it) { return it.is_guaranteed; });
+  Pass pass(request, guarantees);
+  // Room that was cleared for work beyond a guarantee goes to work within one, if that needs it.
+  pass.PlaceAll({candidates.begin(), rest});
+  pass.PlaceAll({rest, candidates.end()});
   return pass.Take();
 }
 
--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -32,7 +32,8 @@
               {"name":"bulk","host":"h","pathPrefix":"/bulk/","service":"inspect",
                "priority":2,"maxAttempts":2,"public":true}],
               "tenants":[{"name":"t","apiKeys":[")" +
-                key + R"("],"guaranteed":{"gpus":8}}]})");
+                key + R"("],"guaranteed":{"gpus":8}},
+                          {"name":"u","apiKeys":["other-key"],"guaranteed":{"gpus":2}}]})");
 }
 
 void StandInCluster::Register(const StandInWorker& worker, const std::string& state,
@@ -87,7 +88,7 @@
                                                      const std::string& body) {
   constexpr Milliseconds kLastAnswers{100};
   const std::uint64_t exchange = ++last_exchange_;
-  net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token key"),
+  net::HttpRequest request{method, path, net::HttpHeaders().With("Authorization", "Token " + key_),
                            body, "h"};
   request.headers =
       request.headers.With("X-Clementineloom-Deadline-Ms", std::to_string(patience_.count()));
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -26,8 +26,9 @@
   StandInCluster(int instances, int workers, workload::Milliseconds run_time,
                  bool same_seeds = false);
 
-  /// @brief Publishes a configuration with one queue for each of two priorities.
-  /// @param key of the team; another one than "key" takes the callers' key away
+  /// @brief Publishes a configuration with one queue for each of two priorities, a team that is
+  /// guaranteed 8 accelerators and one that is guaranteed 2.
+  /// @param key of the first team; another one than "key" takes the callers' key away
   void PublishConfig(std::uint64_t version, const std::string& key = "key");
   void Register(const StandInWorker& worker, const std::string& state = "ready",
                 std::int64_t remaining_ms = 0);
@@ -41,6 +42,9 @@
 
   /// @brief How long callers wait from now on. An instance answers somewhat earlier.
   void SetPatience(workload::Milliseconds patience) { patience_ = patience; }
+  /// @brief Sends later requests with this key; "key" and "other-key" are of two teams.
+  void UseKey(std::string key) { key_ = std::move(key); }
+
   /// @brief Sends a request to an instance and runs until it is answered or the caller gives up.
   std::optional<net::HttpResponse> Ask(std::size_t instance, const std::string& method,
                                        const std::string& path, const std::string& body = {});
@@ -92,6 +96,7 @@
 
   const bool same_seeds_;
   workload::Milliseconds patience_{900};
+  std::string key_ = "key";
   std::vector<Instance> instances_;
   std::uint32_t last_seed_ = 0;
   std::uint64_t last_exchange_ = 0;
