--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -6,6 +6,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <memory>
 
 #include "fakes/query.h"
@@ -31,8 +32,28 @@
   return text;
 }
 
+// Whether a request line can carry a target; a server refuses others before it looks at them.
+bool IsTarget(const std::string& target) {
+  return std::all_of(target.begin(), target.end(),
+                     [](char it) { return it > ' ' && it < '\x7f' && it != '#'; });
+}
+
+std::string Decoded(std::string_view text) {
+  constexpr int kHexBase = 16;
+  std::string decoded;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    int byte = 0;
+    const char* const digits = text.data() + n + 1;
+    const bool is_encoded = text[n] == '%' && n + 2 < text.size() &&
+                            std::from_chars(digits, digits + 2, byte, kHexBase).ptr == digits + 2;
+    decoded.push_back(is_encoded ? static_cast<char>(byte) : text[n]);
+    n += is_encoded ? 2 : 0;
+  }
+  return decoded;
+}
+
 std::string TextOf(const std::string& target, std::string_view key) {
-  return std::string(fakes::QueryText(target, key).value_or(""));
+  return Decoded(fakes::QueryText(target, key).value_or(""));
 }
 
 std::string BigEndian(std::uint64_t number) {
@@ -54,6 +75,10 @@
 }
 
 void StandInStore::Serve(const net::HttpRequest& request, SimWorld::Reply reply) {
+  if (!IsTarget(request.target)) {
+    reply(Json(400, {}));
+    return;
+  }
   if (refuses_) {
     reply(Json(503, {}));
     return;
