Give a call that cannot be written its result

Callers saw: nothing yet; found in reading.

Cause: a request with a field that is too long for a message raises std::length_error in the coroutine of its call. asio drops the exception of a detached coroutine, so that the call never gets a result: the worker, or the topic, that waits for it is never called again.

Evidence, before: HttpClientTest.Send_OfARequestThatCannotBeWritten waited without a result until it was ended after 60 s; the test passes now.

The message is made before a connection is taken, so that its refusal may say that nothing ran.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <deque>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,6 +71,16 @@
   return {ResultCode::kUpstreamFailed, RunState::kMayHaveRun, ec.message()};
 }
 
+// The request as it is sent, or nothing for one that cannot be written: a field that is too long
+// for a request. An exception in the coroutine of a call would leave it without a result.
+std::optional<detail::BeastRequest> EncodeRequest(const ClientCall& call) {
+  try {
+    return detail::ToBeast(call.request, call.address);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 class HttpClient::Impl {
@@ -96,6 +107,13 @@
   asio::awaitable<void> Run(ClientCall call) {
     const auto deadline = Clock::now() + call.timeout;
     const CallId id = call.id;
+    const auto message = EncodeRequest(call);
+    if (!message) {
+      sink_(
+          {id, std::nullopt,
+           Refusal{ResultCode::kInvalidValue, RunState::kDidNotRun, "request cannot be written"}});
+      co_return;
+    }
     error_code ec;
     ConnectionPtr connection = TakeIdle(call.address, call.max_idle);
     if (connection == nullptr) {
@@ -108,7 +126,7 @@
            Refusal{ResultCode::kUpstreamFailed, RunState::kDidNotRun, "connect: " + ec.message()}});
       co_return;
     }
-    sink_(co_await Exchange(std::move(connection), call, deadline));
+    sink_(co_await Exchange(std::move(connection), call, *message, deadline));
   }
 
   ConnectionPtr TakeIdle(const std::string& address, std::chrono::milliseconds max_idle) {
@@ -154,9 +172,9 @@
   }
 
   asio::awaitable<ClientResult> Exchange(ConnectionPtr connection, const ClientCall& call,
+                                         const detail::BeastRequest& message,
                                          Clock::time_point deadline) {
     error_code ec;
-    const auto message = detail::ToBeast(call.request, call.address);
     connection->stream.expires_at(deadline);
     co_await http::async_write(connection->stream, message,
                                asio::redirect_error(asio::use_awaitable, ec));
--- /dev/null
+++ b/tests/net/http_client_test.cc
@@ -0,0 +1,72 @@
+#include "net/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "clementineloom/concurrency/bounded_ring.h"
+#include "net/http_server.h"
+#include "support/value_or_die.h"
+
+namespace clementineloom::net {
+namespace {
+
+using testing_support::ValueOrDie;
+
+class HttpClientTest : public testing::Test {
+ protected:
+  static constexpr int kOk = 200;
+
+  HttpClientTest()
+      : server_(ValueOrDie([this] {
+          return HttpServer::Start("server", {}, [this](const ServerRequest& request) {
+            server_->Answer(request.id, {kOk, {}, "answer"});
+            return true;
+          });
+        })) {}
+
+  ClientResult Call(const std::string& address, HttpRequest request) {
+    EXPECT_TRUE(
+        client_.Send({CallId(++last_call_), address, std::move(request), std::chrono::seconds(5)}));
+    return *results_.Pop();
+  }
+  [[nodiscard]] std::string Address() const {
+    return "127.0.0.1:" + std::to_string(server_->port());
+  }
+
+  BoundedRing<ClientResult> results_{16};
+  std::uint64_t last_call_ = 0;
+  std::unique_ptr<HttpServer> server_;
+  HttpClient client_{
+      "calls", {}, [this](ClientResult result) { (void)results_.Push(std::move(result)); }};
+};
+
+// Guards against a request that cannot be written and ends the process, or that gets no result.
+TEST_F(HttpClientTest, Send_OfARequestThatCannotBeWritten_IsRefusedAndOthersGoOn) {
+  const HttpHeaders headers = HttpHeaders().With("X-Long", std::string(70'000, 'a'));
+  const ClientResult refused = Call(Address(), {"GET", "/", headers, {}});
+  ASSERT_TRUE(refused.refusal.has_value());
+  EXPECT_EQ(refused.refusal->run_state, RunState::kDidNotRun);
+  const ClientResult answered = Call(Address(), {"GET", "/", {}, {}});
+  ASSERT_TRUE(answered.response.has_value());
+  EXPECT_EQ(answered.response->body, "answer");
+}
+
+// Guards against addresses of another writer that end the thread of all calls.
+TEST_F(HttpClientTest, Send_ToAnOddAddress_IsRefusedAndOthersGoOn) {
+  for (const std::string& address :
+       {std::string(), std::string("10.0.0.1"), std::string("127.0.0.1:0"),
+        std::string("127.0.0.1:65536"), std::string("127.0.0.1:99999999999"),
+        "::1%" + std::string(70'000, 'a') + ":" + std::to_string(server_->port())}) {
+    const ClientResult refused = Call(address, {"GET", "/", {}, {}});
+    ASSERT_TRUE(refused.refusal.has_value()) << address.substr(0, 40);
+    EXPECT_EQ(refused.refusal->run_state, RunState::kDidNotRun);
+  }
+  EXPECT_TRUE(Call(Address(), {"GET", "/", {}, {}}).response.has_value());
+}
+
+}  // namespace
+}  // namespace clementineloom::net
