Refuse records whose numbers no instance can have written

Callers saw: nothing yet; found in reading.

Cause: the row of a step's tasks grows to the index of a record, so that one record of task asks every instance that loads the topic for hundreds of gigabytes, again after each start. An owner's record with the greatest epoch leaves no next one, so that no instance can own the workers. A phase that does not exist was taken as one.

Evidence, before: WorkloadRecordCodecTest.Decode_OfNumbersOutOfRange was accepted in six of its cases. Deep nesting was refused already: that test is a guard.

--- a/src/codec/workload_record_codec.cc
+++ b/src/codec/workload_record_codec.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include "clementineloom/workload/job_limits.h"
 #include "codec/detail/submission_json.h"
 #include "codec/task_name.h"
 
@@ -32,6 +33,9 @@
 constexpr char kTask = 't';
 constexpr char kEnd = 'e';
 constexpr char kInstance = 'i';
+// Numbers rise by steps that no deployment repeats so often; beyond them the next would overflow.
+constexpr std::uint64_t kMaxEpoch = std::uint64_t{1} << 62;
+constexpr std::uint64_t kMaxRun = std::uint64_t{1} << 53;
 
 std::string Key(char kind, const std::string& name) { return std::string(1, kind) + "/" + name; }
 
@@ -81,6 +85,9 @@
   }
   record.phase = static_cast<TaskPhase>(phase);
   record.run = row->at(1).to_number<std::uint64_t>();
+  if (record.run > kMaxRun) {
+    return Refuse(ResultCode::kCorruptRecord, "run number");
+  }
   record.worker = row->at(2).as_string();
   record.failures = row->at(3).to_number<std::uint32_t>();
   record.checkpoint = row->at(4).as_string();
@@ -93,9 +100,13 @@
   if (row == nullptr || row->size() != kMembers) {
     return Refuse(ResultCode::kCorruptRecord, "owner record");
   }
-  return workload::OwnerRecord{row->at(0).to_number<std::uint64_t>(),
-                               std::string(row->at(1).as_string()),
-                               static_cast<OwnerPhase>(row->at(2).to_number<unsigned>())};
+  const auto epoch = row->at(0).to_number<std::uint64_t>();
+  const auto phase = row->at(2).to_number<unsigned>();
+  if (epoch > kMaxEpoch || phase > static_cast<unsigned>(OwnerPhase::kResigned)) {
+    return Refuse(ResultCode::kCorruptRecord, "owner record");
+  }
+  return workload::OwnerRecord{epoch, std::string(row->at(1).as_string()),
+                               static_cast<OwnerPhase>(phase)};
 }
 
 Result<JobState> ReadEnd(const json::value& value) {
@@ -106,6 +117,13 @@
   return static_cast<JobState>(number);
 }
 
+// Whether a job can have the task; the table keeps room for all tasks before one.
+bool IsWithinLimits(const workload::TaskId& task) {
+  using workload::JobLimits;
+  return task.index < JobLimits::kTasksOfAStep && task.step.step < JobLimits::kSteps &&
+         task.step.occurrence < JobLimits::kOccurrences;
+}
+
 Result<WorkloadRecord> DecodeItem(char kind, std::string name, const json::value* value) {
   switch (kind) {
     case kSubmission: {
@@ -119,7 +137,7 @@
       return WorkloadRecord(CancellationSet{std::move(name), value != nullptr});
     case kTask: {
       const auto task = ParseTaskName(name);
-      if (!task) {
+      if (!task || !IsWithinLimits(*task)) {
         return Refuse(ResultCode::kCorruptRecord, "task name");
       }
       TaskSet record{*task, std::nullopt};
--- a/tests/codec/workload_record_codec_test.cc
+++ b/tests/codec/workload_record_codec_test.cc
@@ -99,5 +99,27 @@
   EXPECT_FALSE(ParseTaskName("a.1.2.x").has_value());
 }
 
+// Guards against records of other writers that end every instance that loads them, or after which
+// no instance can own the workers: a row of four thousand million tasks, an epoch that has no next.
+TEST_F(WorkloadRecordCodecTest, Decode_OfNumbersOutOfRange_IsRefused) {
+  EXPECT_EQ(CodeOf({"t/job.0.0.4294967295", R"([1,1,"w",0,""])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"t/job.0.4294967295.0", R"([1,1,"w",0,""])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"t/job.4294967295.0.0", R"([1,1,"w",0,""])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"t/job.0.0.0", R"([1,18446744073709551615,"w",0,""])"}),
+            ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"owner", R"([18446744073709551615,"i",0])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"owner", R"([1,"i",99])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"t/job.0.0.9999", R"([1,1,"w",0,""])"}), ResultCode::kOk);
+}
+
+// Guards against a reader that runs out of stack.
+TEST_F(WorkloadRecordCodecTest, Decode_OfDeeplyNestedValues_IsRefused) {
+  const std::string nested(100'000, '[');
+  for (const char* key : {"s/job", "t/job.0.0.0", "c/job", "e/job", "i/x", "owner"}) {
+    EXPECT_EQ(CodeOf({key, nested + std::string(nested.size(), ']')}), ResultCode::kCorruptRecord)
+        << key;
+  }
+}
+
 }  // namespace
 }  // namespace clementineloom::codec
