Use a worker's entry only if all of it keeps to bounds

Cause: an entry was used as soon as its members had the right type. The address was not looked at, and numbers were taken as they came. An entry that another writer leaves under the id of a worker that runs something then took the worker's address away (its leases were renewed no more, its runs ran again), or counted as another life of it (a start of -5 or of 9e18: its runs were given up at once). Times and capacities near the end of 64 bits overflow where an owner adds to them. Ids with spaces, line ends or other bytes went into a header and into records that cannot be read back.

Beside the workers all jobs completed for each entry, and no instance ended: the parser's bound on depth refuses deep nesting, and no address makes the client throw; these tests are guards. An address with a zero byte named another host than it showed.

The directory logs such an entry once while its key is present, with key, bytes, code and member, and drops the worker as for an entry that is gone: what runs there is renewed at the address that was known.

--- a/src/entry/owner/worker_directory.h
+++ b/src/entry/owner/worker_directory.h
@@ -3,11 +3,13 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "clementineloom/errors/result.h"
 #include "clementineloom/workload/worker_info.h"
 #include "entry/store/topic_follower.h"
 
@@ -15,7 +17,8 @@
 
 /// @brief Follows the workers' entries and tells what changed in them.
 ///
-/// An entry that cannot be read names no worker; the entry that it replaces is gone.
+/// An entry that another writer left and that cannot be used names no worker; the entry that it
+/// replaces is gone, and the others hold. It is logged once while its key is present.
 /// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
 class WorkerDirectory {
@@ -56,6 +59,7 @@
     for (const std::string& it : gone) {
       Drop(it);
     }
+    std::erase_if(reported_, [&present](const std::string& it) { return !present.contains(it); });
     OnItems(items);
   }
 
@@ -66,16 +70,16 @@
   }
 
   void Take(const workload::KeyedValue& item) {
-    const auto worker = Platform::ParseWorker(item);
+    if (item.value.empty()) {
+      reported_.erase(item.key);
+      Drop(item.key);
+      return;
+    }
+    const auto worker = Read(item);
     if (!worker) {
-      if (!item.value.empty() && unreadable_.insert(item.key).second) {
-        logging::LogEvent(logging::LogLevel::kWarning, "worker_entry_ignored",
-                          {{"key", item.key}, {"bytes", item.value.size()}});
-      }
       Drop(item.key);
       return;
     }
-    unreadable_.erase(item.key);
     const auto known = workers_.find(item.key);
     if (known == workers_.end() || known->second != *worker) {
       workers_.insert_or_assign(item.key, *worker);
@@ -83,6 +87,28 @@
     }
   }
 
+  std::optional<workload::WorkerInfo> Read(const workload::KeyedValue& item) {
+    return CatchRefusal(
+        [&item]() -> Result<std::optional<workload::WorkerInfo>> {
+          BOOST_LEAF_AUTO(worker, Platform::ParseWorker(item));
+          return std::optional(std::move(worker));
+        },
+        [this, &item](const Refusal& refusal) {
+          Report(item, refusal);
+          return std::optional<workload::WorkerInfo>();
+        });
+  }
+
+  void Report(const workload::KeyedValue& item, const Refusal& refusal) {
+    if (reported_.insert(item.key).second) {
+      logging::LogEvent(logging::LogLevel::kWarning, "worker_entry_ignored",
+                        {{"key", item.key},
+                         {"bytes", item.value.size()},
+                         {"code", static_cast<int>(refusal.code)},
+                         {"detail", refusal.detail}});
+    }
+  }
+
   void Drop(const std::string& id) {
     if (workers_.erase(id) > 0) {
       sink_.on_gone(id);
@@ -91,8 +117,8 @@
 
   const Sink sink_;
   std::map<std::string, workload::WorkerInfo> workers_;
-  // Keys whose present entry was reported as unreadable.
-  std::set<std::string> unreadable_;
+  // Keys of which an entry was reported as one that names no worker.
+  std::set<std::string> reported_;
   TopicFollower<Platform, Port> follower_;
 };
 
--- a/src/net/parse_endpoint.cc
+++ b/src/net/parse_endpoint.cc
@@ -6,10 +6,18 @@
 #include <string>
 
 namespace clementineloom::net {
+namespace {
+
+// An IPv6 number in brackets with the name of an interface, and a port.
+constexpr std::size_t kMaxEndpointBytes = 80;
+
+}  // namespace
 
 Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text) {
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
+  // What follows a zero byte would be left out.
+  const bool is_whole = text.find('\0') == std::string_view::npos;
+  if (colon == std::string_view::npos || text.size() > kMaxEndpointBytes || !is_whole) {
     return Refuse(ResultCode::kAddressNotNumeric, std::string(text));
   }
   std::string_view host = text.substr(0, colon);
--- /dev/null
+++ b/tests/entry/odd_entry_test.cc
@@ -0,0 +1,111 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "entry/cluster_test.h"
+#include "support/odd_worker_entries.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using testing_support::OddWorkerEntries;
+using testing_support::OddWorkerEntry;
+using testing_support::WorkerEntryWith;
+using workload::Milliseconds;
+
+constexpr const char* kWorkerTopic = "keyed.servers";
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kTask = "00000000000000a1.0.0.0";
+constexpr const char* kLaterJob = "00000000000000a2";
+constexpr const char* kLaterTask = "00000000000000a2.0.0.0";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr const char* kFourTasks = R"([{"count":4,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr Milliseconds kRunTime{1'000};
+constexpr Milliseconds kLongRunTime{9'000};
+constexpr int kOk = 200;
+
+class OddEntryTest : public ClusterTest {
+ protected:
+  // Puts an entry under a key of its own and expects that jobs go on everywhere.
+  static void ExpectHarmless(const std::string& key, const OddWorkerEntry& entry) {
+    SCOPED_TRACE(entry.what);
+    StandInCluster cluster(2, 2, kRunTime);
+    cluster.store.Put(kWorkerTopic, key, entry.value);
+    cluster.RunFor(Milliseconds(500));
+    EXPECT_EQ(cluster.Submit(0, kJob, kFourTasks)->status, kOk);
+    EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+    EXPECT_EQ(cluster.StartsOf(kTask), 1);
+    // Both read the whole list anew.
+    for (const std::size_t instance : {0U, 1U}) {
+      cluster.Kill(instance);
+      cluster.Restart(instance);
+    }
+    cluster.RunFor(Milliseconds(4'000));
+    // A worker that registers later is still seen.
+    cluster.Unregister(*cluster.workers[0]);
+    cluster.RunFor(Milliseconds(500));
+    cluster.Register(*cluster.workers[0]);
+    cluster.Unregister(*cluster.workers[1]);
+    cluster.RunFor(Milliseconds(500));
+    EXPECT_EQ(cluster.Submit(1, kLaterJob, kOneTask)->status, kOk);
+    cluster.RunFor(Milliseconds(500));
+    EXPECT_EQ(cluster.WorkersRunning(kLaterTask), std::vector<std::size_t>{0});
+  }
+};
+
+// Guards against instances that end or stop following the workers because of one odd entry.
+TEST_F(OddEntryTest, Entry_ThatIsOdd_BesideTheWorkers_JobsComplete) {
+  for (const OddWorkerEntry& it : OddWorkerEntries()) {
+    ExpectHarmless("odd", it);
+  }
+}
+
+// Guards against runs that are given up because another writer left an odd entry under the id of
+// their worker, which is still there.
+TEST_F(OddEntryTest, Entry_ThatIsOdd_UnderAWorkersId_ItsRunsGoOn) {
+  for (const OddWorkerEntry& it : OddWorkerEntries()) {
+    SCOPED_TRACE(it.what);
+    StandInCluster cluster(2, 1, kLongRunTime);
+    EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+    cluster.RunFor(Milliseconds(500));
+    cluster.store.Put(kWorkerTopic, cluster.workers[0]->id(), it.value);
+    EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(11'000)));
+    EXPECT_EQ(cluster.StartsOf(kTask), 1);
+    cluster.Register(*cluster.workers[0]);
+    EXPECT_EQ(cluster.Submit(1, kLaterJob, kOneTask)->status, kOk);
+    cluster.RunFor(Milliseconds(500));
+    EXPECT_EQ(cluster.StartsOf(kLaterTask), 1);
+  }
+}
+
+// Guards against ids that break the request, the header or the record that names them.
+TEST_F(OddEntryTest, Entry_UnderAnOddKey_BesideTheWorkers_JobsComplete) {
+  const std::string entry = WorkerEntryWith("version", R"("v1")");
+  for (const char* key : {"w 1", "w\r\nX-Y: z", "\xff\xfe", "a&topic=keyed.op", "#", "%41"}) {
+    ExpectHarmless(key, {testing::PrintToString(key), entry});
+  }
+}
+
+// Guards against an odd entry that takes the capacity of a worker a second time.
+TEST_F(OddEntryTest, Entry_WithTheAddressOfAWorker_GetsNoRuns) {
+  ExpectHarmless("odd", {"address of a worker", WorkerEntryWith("version", R"("v1")")});
+}
+
+// Guards against a list of more than one page that cannot be continued after an odd key.
+TEST_F(OddEntryTest, Entry_UnderAnOddKeyAtTheEndOfAPage_TheNextPageIsRead) {
+  constexpr int kEntriesOfAPage = 500;
+  StandInCluster cluster(1, 1, kRunTime);
+  for (int n = 0; n < kEntriesOfAPage - 1; ++n) {
+    cluster.store.Put(kWorkerTopic, "a" + std::to_string(n), "{}");
+  }
+  cluster.store.Put(kWorkerTopic, "b 1&from=0#\xc3\xa4", "{}");
+  cluster.Kill(0);
+  cluster.Restart(0);
+  cluster.RunFor(Milliseconds(4'000));
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(4'000)));
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
