Keep the clock that the lists of a worker's new life tell

Callers saw: tasks stopped again and again, and gangs that do not run though there is room: work thrown away.

Cause: where a worker's lists were the first to show another life, the owner noted the clock in them and then forgot it with the former life. The worker counted as attached without a clock, was idle and so was not called again, and every start there was refused by the owner itself ("the worker's clock is not known"). Being empty it was chosen for the next start too. A gang with one member there was started and stopped in a circle.

The clock is noted after the change of lives. A worker whose clock is not known when a start is due is called for its lists and gets no run before, whatever the way in which that came about.

--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -28,6 +28,9 @@
     WorkerLink& link = core_.links[start.worker];
     const auto lease_until = link.lease.Grant(core_.options.lease, core_.port.Now());
     if (!lease_until) {
+      // No run is placed here before a call for its lists has shown the clock.
+      core_.workers[start.worker].is_attached = false;
+      core_.call_worker(start.worker);
       NotStarted(start.worker, start.run.run, "the worker's clock is not known");
       return;
     }
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -123,12 +123,13 @@
     link.failures = 0;
     link.answered_at = core_.port.Now();
     link.sent_acknowledgement = std::max(link.sent_acknowledgement, ack);
-    link.lease.OnClock(lists->clock_ms, core_.port.Now());
     const std::int64_t born = lists->born_at_ms.value_or(worker.info.born_at_ms);
     if (link.born_at_ms != 0 && born != 0 && born != link.born_at_ms) {
       BeginLife(id, born);
     }
     link.born_at_ms = born;
+    // After the change of lives, which forgets the clock of the earlier one.
+    link.lease.OnClock(lists->clock_ms, core_.port.Now());
     if (!worker.is_attached) {
       worker.is_attached = true;
       logging::LogEvent(logging::LogLevel::kInfo, "worker_attached",
--- /dev/null
+++ b/tests/entry/held_room_test.cc
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+
+#include "entry/cluster_test.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using standin::StandInWorker;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kFirst = "00000000000000a1.0.0.0";
+constexpr const char* kSecond = "00000000000000a1.0.0.1";
+// Each member takes a whole worker.
+constexpr const char* kGang = R"([{"count":2,"cpu":8000,"memMb":10,"gpus":8,"gang":true}])";
+constexpr const char* kOneTask = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":2}])";
+constexpr Milliseconds kRunTime{3'000};
+constexpr Milliseconds kLongRunTime{30'000};
+constexpr int kOk = 200;
+
+// Runs that hold room although their worker no longer has them keep a whole gang from starting.
+class HeldRoomTest : public ClusterTest {
+ protected:
+  // A worker that runs a task; fails the test where there is none.
+  static StandInWorker& WorkerOf(StandInCluster& cluster, const std::string& task) {
+    const auto found = cluster.WorkersRunning(task);
+    EXPECT_EQ(found.size(), 1U);
+    return *cluster.workers[found.empty() ? 0 : found[0]];
+  }
+
+  static void SubmitGang(StandInCluster& cluster) {
+    EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, kGang)->status, kOk);
+    cluster.RunFor(Milliseconds(500));
+  }
+
+  // The workers end their runs well from now on, and the gang has to complete.
+  static void ExpectCompletion(StandInCluster& cluster) {
+    for (const auto& it : cluster.workers) {
+      it->FailAll("");
+    }
+    EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(20'000)));
+    EXPECT_TRUE(cluster.doubled.empty());
+  }
+};
+
+// Guards against a gang that waits for a member whose worker was cut off from its start on.
+TEST_F(HeldRoomTest, Gang_WithAMemberCutOffFromItsStart_RunsAgainOnceItIsBack) {
+  for (const int healed_after_ms : {1'000, 2'500, 3'500, 5'000, 9'000}) {
+    SCOPED_TRACE(healed_after_ms);
+    StandInCluster cluster(2, 2, kRunTime);
+    standin::SimPort& port = cluster.port(Owner(cluster));
+    port.Cut(cluster.workers[1]->address());
+    cluster.workers[0]->FailAll("alone");
+    EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, kGang)->status, kOk);
+    cluster.RunFor(Milliseconds(healed_after_ms));
+    port.Heal(cluster.workers[1]->address());
+    ExpectCompletion(cluster);
+  }
+}
+
+// Guards against a gang that waits for a member whose orders arrive and whose answers are lost.
+TEST_F(HeldRoomTest, Gang_WithAMemberWhoseAnswersAreLost_RunsAgainOnceTheyArrive) {
+  for (const int healed_after_ms : {1'000, 2'500, 3'500, 5'000, 9'000}) {
+    SCOPED_TRACE(healed_after_ms);
+    StandInCluster cluster(2, 2, kRunTime);
+    standin::SimPort& port = cluster.port(Owner(cluster));
+    port.LoseAnswers(cluster.workers[1]->address());
+    cluster.workers[0]->FailAll("alone");
+    cluster.workers[1]->FailAll("broken");
+    EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, kGang)->status, kOk);
+    cluster.RunFor(Milliseconds(healed_after_ms));
+    port.Heal(cluster.workers[1]->address());
+    ExpectCompletion(cluster);
+  }
+}
+
+// Guards against a worker on which nothing ever starts: its lists showed another life, with which
+// the clock that they told was forgotten, and a gang was placed there again and again.
+TEST_F(HeldRoomTest, Gang_OnAWorkerWhoseListsShowAnotherLife_RunsAgainOnce) {
+  StandInCluster cluster(2, 2, kRunTime);
+  SubmitGang(cluster);
+  WorkerOf(cluster, kSecond).Restart();
+  cluster.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster.RunningCount(), 2U);
+  EXPECT_EQ(cluster.StartsOf(kFirst), 2);
+  ExpectCompletion(cluster);
+}
+
+// Guards against the same for a single task, which no other worker can take.
+TEST_F(HeldRoomTest, Task_OnAWorkerWhoseListsShowAnotherLife_RunsAgainOnce) {
+  StandInCluster cluster(2, 1, kRunTime);
+  EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  WorkerOf(cluster, kFirst).Restart();
+  cluster.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster.RunningCount(), 1U);
+  EXPECT_EQ(cluster.StartsOf(kFirst), 2);
+  ExpectCompletion(cluster);
+}
+
+// Guards against a gang that waits for a member whose worker was cut off between its start and its
+// end, while the owner stayed or was replaced.
+TEST_F(HeldRoomTest, Gang_WithAMemberCutOffWhileItRuns_RunsAgainOnceItIsBack) {
+  for (const int cut_ms : {1'000, 3'000, 5'000, 9'000}) {
+    for (const bool is_owner_killed : {false, true}) {
+      SCOPED_TRACE(std::to_string(cut_ms) + " " + std::to_string(is_owner_killed));
+      StandInCluster cluster(3, 2, kRunTime);
+      SubmitGang(cluster);
+      StandInWorker& cut = WorkerOf(cluster, kSecond);
+      WorkerOf(cluster, kFirst).FailAll("alone");
+      cut.FailAll("broken");
+      for (const std::size_t it : {0U, 1U, 2U}) {
+        cluster.port(it).Cut(cut.address());
+      }
+      const std::size_t owner = Owner(cluster);
+      if (is_owner_killed) {
+        cluster.Kill(owner);
+      }
+      cluster.RunFor(Milliseconds(cut_ms));
+      for (const std::size_t it : {0U, 1U, 2U}) {
+        if (!is_owner_killed || it != owner) {
+          cluster.port(it).Heal(cut.address());
+        }
+      }
+      ExpectCompletion(cluster);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
