Stop adopted runs once their worker is known, and miss them in any stage

Found besides: a cancelled job whose task ran on.

Cause: a new owner adopts runs on workers whose entries it has not seen yet. A stop of such a run, as a member of its gang had ended or its job was cancelled, had no address to go to and was never sent later, while the run counted as being stopped. Once the worker was listed its lease was renewed, so that the run never counted as lost, and a run that is being stopped counted as missing only after its stop was answered. It held its room for ever, and a gang starts only when none of its tasks holds room.

In tests: HeldRoomTest.

A stop is sent until its outcome is known, also where no address is known yet. One rule says when a run must be listed, whatever its stage: a confirmed one by lists asked for later, an adopted one by any lists, since the worker refuses earlier owners from then on.

--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -162,6 +162,8 @@
 
   void SendStop(const std::string& worker, const workload::TaskRun& run) {
     if (core_.workers[worker].info.address.empty()) {
+      // An adopted run on a worker whose entry was not seen yet.
+      RetryStop(worker, run);
       return;
     }
     core_.Order(
@@ -181,6 +183,10 @@
       core_.call_worker(worker);
       return;
     }
+    RetryStop(worker, run);
+  }
+
+  void RetryStop(const std::string& worker, const workload::TaskRun& run) {
     core_.port.After(kOrderRetryDelay, core_.Guard([this, worker, run] {
       if (core_.FindRun(worker, run) != nullptr) {
         SendStop(worker, run);
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -236,17 +236,21 @@
     }
   }
 
+  // Whether a run that is still there is in the lists of a call. An adopted one is, in any stage:
+  // its worker refuses the late orders of earlier owners since it has seen the token of the call.
+  static bool MustBeListed(const workload::PlacedRun& run, workload::SteadyTime sent_at) {
+    const bool is_confirmed =
+        (run.stage == workload::RunStage::kRunning || run.stage == workload::RunStage::kStopping) &&
+        run.confirmed_at < sent_at;
+    return is_confirmed || run.is_adopted;
+  }
+
   // Runs that the worker must know of and does not list.
   void TakeMissing(const std::string& id, const std::set<workload::TaskRun>& listed,
                    workload::SteadyTime sent_at, Records& records) {
     std::vector<workload::PlacedRun> missing;
     for (const auto& [run, placed] : core_.workers[id].runs) {
-      const bool is_confirmed = (placed.stage == workload::RunStage::kRunning ||
-                                 placed.stage == workload::RunStage::kStopping) &&
-                                placed.confirmed_at < sent_at;
-      const bool is_refused_by_token =
-          placed.stage == workload::RunStage::kStarting && placed.is_adopted;
-      if (!listed.contains(run) && (is_confirmed || is_refused_by_token)) {
+      if (!listed.contains(run) && MustBeListed(placed, sent_at)) {
         missing.push_back(placed);
       }
     }
--- a/tests/entry/held_room_test.cc
+++ b/tests/entry/held_room_test.cc
@@ -48,6 +48,39 @@
   }
 };
 
+// Guards against a gang that never runs again: one member ended alone while another was on a
+// worker that the new owner did not know yet, where its stop was never sent.
+TEST_F(HeldRoomTest, Gang_StoppedOnAnUnlistedWorkerAfterATakeover_RunsAgainOnceItIsListed) {
+  StandInCluster cluster(3, 2, kRunTime);
+  SubmitGang(cluster);
+  StandInWorker& alone = WorkerOf(cluster, kFirst);
+  StandInWorker& unlisted = WorkerOf(cluster, kSecond);
+  alone.FailAll("alone");
+  unlisted.Restart();
+  cluster.Unregister(unlisted);
+  cluster.Kill(Owner(cluster));
+  cluster.RunFor(Milliseconds(5'000));
+  cluster.Register(unlisted);
+  ExpectCompletion(cluster);
+}
+
+// Guards against a cancelled task that runs on: its stop was never sent, because the new owner did
+// not know the worker yet.
+TEST_F(HeldRoomTest, Job_CancelledWhileItsWorkerIsUnlistedAfterATakeover_IsStoppedOnceItIsListed) {
+  StandInCluster cluster(3, 2, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  StandInWorker& unlisted = WorkerOf(cluster, kFirst);
+  cluster.Unregister(unlisted);
+  cluster.Kill(Owner(cluster));
+  cluster.RunFor(Milliseconds(2'500));
+  EXPECT_EQ(cluster.Ask(Owner(cluster), "DELETE", std::string("/urgent/") + kJob)->status, kOk);
+  cluster.RunFor(Milliseconds(500));
+  cluster.Register(unlisted);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.RunningCount(), 0U);
+}
+
 // Guards against a gang that waits for a member whose worker was cut off from its start on.
 TEST_F(HeldRoomTest, Gang_WithAMemberCutOffFromItsStart_RunsAgainOnceItIsBack) {
   for (const int healed_after_ms : {1'000, 2'500, 3'500, 5'000, 9'000}) {
@@ -103,6 +136,30 @@
   ExpectCompletion(cluster);
 }
 
+// Guards against a gang that waits for a member on a worker that began another life, listed or not,
+// before or after the owner was replaced.
+TEST_F(HeldRoomTest, Gang_WithAMemberOnAWorkerThatBeganAnew_RunsAgain) {
+  for (const bool is_unlisted : {false, true}) {
+    for (const bool is_owner_killed : {false, true}) {
+      SCOPED_TRACE(std::to_string(is_unlisted) + " " + std::to_string(is_owner_killed));
+      StandInCluster cluster(3, 2, kRunTime);
+      SubmitGang(cluster);
+      StandInWorker& reborn = WorkerOf(cluster, kSecond);
+      WorkerOf(cluster, kFirst).FailAll("alone");
+      if (is_unlisted) {
+        cluster.Unregister(reborn);
+      }
+      reborn.Restart();
+      if (is_owner_killed) {
+        cluster.Kill(Owner(cluster));
+      }
+      cluster.RunFor(Milliseconds(3'500));
+      cluster.Register(reborn);
+      ExpectCompletion(cluster);
+    }
+  }
+}
+
 // Guards against a gang that waits for a member whose worker was cut off between its start and its
 // end, while the owner stayed or was replaced.
 TEST_F(HeldRoomTest, Gang_WithAMemberCutOffWhileItRuns_RunsAgainOnceItIsBack) {
