Take no run for missing while a worker still has ends to tell

Callers saw: nothing that is traced to this; tasks that are done run again (TWICE).

Cause: a worker lists 500 ends at a time. Where more than 500 wait, as after a silence, the runs behind them are in neither list. The owner took these for lapsed and started them again, and their real ends, in the next answer, no longer fitted the table.

Evidence, before: HeldRoomTest.Ends_MoreThanAnAnswerHolds: 600 tasks end while the owner is cut off from their worker for 3 s; there were 700 starts. 600 now.

An answer with 500 ends or more says nothing of runs that it does not list.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -170,7 +170,9 @@
         ends_.TakeEnd(id, it.run, it.reason, it.checkpoint, records);
       }
     }
-    TakeMissing(id, listed, sent_at, records);
+    if (!lists.may_have_more_ends) {
+      TakeMissing(id, listed, sent_at, records);
+    }
     pacing_.OnReport(id);
     if (records.empty() && last_end == link.acknowledged_end) {
       Poll(id);
--- a/src/entry/worker/worker_lists.h
+++ b/src/entry/worker/worker_lists.h
@@ -18,6 +18,8 @@
   std::vector<RunningItem> running;
   /// Ends that were not acknowledged yet, by number.
   std::vector<EndedItem> ended;
+  /// Ends may have been left for a later answer, so that a run in neither list may have ended.
+  bool may_have_more_ends = false;
 
   friend auto operator<=>(const WorkerLists&, const WorkerLists&) = default;
 };
--- a/tests/entry/held_room_test.cc
+++ b/tests/entry/held_room_test.cc
@@ -189,5 +189,26 @@
   }
 }
 
+// Guards against tasks that run again although they are done: a worker lists 500 ends at a time,
+// and the runs whose ends were left for the next answer were taken for missing.
+TEST_F(HeldRoomTest, Ends_MoreThanAnAnswerHolds_AreAllTakenNoteOf) {
+  constexpr int kTasks = 600;
+  StandInCluster cluster(2, 1, kRunTime);
+  standin::SimPort& port = cluster.port(Owner(cluster));
+  const std::string steps = R"([{"count":)" + std::to_string(kTasks) + R"(,"cpu":10}])";
+  EXPECT_EQ(cluster.Submit(Owner(cluster), kJob, steps)->status, kOk);
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_EQ(cluster.RunningCount(), static_cast<std::size_t>(kTasks));
+  port.Cut(cluster.workers[0]->address());
+  cluster.RunFor(Milliseconds(3'000));
+  port.Heal(cluster.workers[0]->address());
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(8'000)));
+  int starts = 0;
+  for (int n = 0; n < kTasks; ++n) {
+    starts += cluster.StartsOf(std::string(kJob) + ".0.0." + std::to_string(n));
+  }
+  EXPECT_EQ(starts, kTasks);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -16,6 +16,7 @@
 }
 
 constexpr std::int64_t kWhole = 100;
+constexpr std::size_t kEndsOfAnAnswer = 500;
 
 std::uint64_t Unsigned(const json::object& body, const char* name) {
   return body.contains(name) ? body.at(name).to_number<std::uint64_t>() : 0;
@@ -225,6 +226,9 @@
   }
   json::array ended;
   for (const End& it : ended_) {
+    if (ended.size() == kEndsOfAnAnswer) {
+      break;
+    }
     ended.push_back(json::array{it.number, it.task, it.run, it.how, it.saved});
   }
   return Json(200, {{"clockMs", ClockMs()},
