--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -101,8 +101,11 @@
  private:
   static constexpr workload::Milliseconds kOrderRetryDelay{300};
 
-  // Another life of the worker began, and has not answered yet.
+  // Another life of the worker began, and has not answered yet. No run is placed there before a
+  // call for its lists has shown the clock.
   void OnClockUnknown(const workload::PlannedStart& start) {
+    core_.workers[start.worker].is_attached = false;
+    core_.call_worker(start.worker);
     const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
     if (run != nullptr && run->may_start_late) {
       RetryStart(start);
@@ -204,6 +207,8 @@
 
   void SendStop(const std::string& worker, const workload::TaskRun& run) {
     if (core_.workers[worker].info.address.empty()) {
+      // An adopted run on a worker whose entry was not seen yet.
+      RetryStop(worker, run);
       return;
     }
     core_.Order(
@@ -223,6 +228,10 @@
       core_.call_worker(worker);
       return;
     }
+    RetryStop(worker, run);
+  }
+
+  void RetryStop(const std::string& worker, const workload::TaskRun& run) {
     core_.port.After(kOrderRetryDelay, core_.Guard([this, worker, run] {
       if (core_.FindRun(worker, run) != nullptr) {
         SendStop(worker, run);
