Renew the leases of a worker while its ends are being recorded

Callers saw work start over after an outage of the store: once a run had ended on a worker, the worker was not called again before that end was stored, so that the leases of the runs beside it ended after 5.5 s, and the owner gave itself up because it no longer seemed to reach its workers.

The owner now notes up to which end it has taken over, apart from what is recorded, and goes on calling such a worker each second without waiting there. Workers are forgotten only when no append of theirs is open.

--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -209,7 +209,7 @@
     std::vector<std::string> idle;
     for (const auto& [id, worker] : core_.workers) {
       const WorkerLink& link = core_.links[id];
-      const bool is_called = link.is_polling || link.is_recording_ends;
+      const bool is_called = link.is_polling || link.HasUnrecordedEnds();
       if (worker.runs.empty() && !is_called && !worker.info.address.empty() &&
           now - link.answered_at > kIdlePollInterval) {
         idle.push_back(id);
@@ -242,7 +242,7 @@
     std::erase_if(core_.workers, [this](const auto& it) {
       const WorkerLink& link = core_.links[it.first];
       const bool is_gone = !it.second.is_listed && it.second.runs.empty() && !link.is_polling &&
-                           !link.is_recording_ends;
+                           link.open_records == 0;
       if (is_gone) {
         core_.links.erase(it.first);
       }
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -23,7 +23,8 @@
 /// @brief Calls workers for their lists, which renews their leases, and takes over what they say.
 ///
 /// One call to a worker at a time; it waits at the worker for an end. A worker without runs is not
-/// called. Ends are acknowledged with the call after they were recorded.
+/// called. Ends are acknowledged with the call after they were recorded; until then, as in an
+/// outage of the store, calls that do not wait go on renewing the leases.
 /// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
 class WorkerPoller {
@@ -39,7 +40,7 @@
       return;
     }
     const WorkerLink& link = core_.links[id];
-    if (link.is_polling || link.is_recording_ends) {
+    if (link.is_polling || link.HasUnrecordedEnds()) {
       return;
     }
     const bool is_idle = it->second.is_attached && it->second.runs.empty();
@@ -65,7 +66,7 @@
     if (link.failures == 0) {
       order.lease_until_ms = link.lease.Grant(core_.options.lease, core_.port.Now());
     }
-    if (order.lease_until_ms && !is_idle) {
+    if (order.lease_until_ms && !is_idle && !link.HasUnrecordedEnds()) {
       const bool is_mixed = FillPacing<Platform, Port>::IsMixed(core_.workers[id]);
       order.wait_ms = (is_mixed ? kPollWaitWhilePacing : kPollWait).count();
     }
@@ -93,6 +94,8 @@
   static constexpr workload::Milliseconds kPollWait{1'300};
   // Tails are reported over half a second, and have to be answered within seconds.
   static constexpr workload::Milliseconds kPollWaitWhilePacing{350};
+  // Well within the shortest lease, and rare enough for an outage of all workers' records.
+  static constexpr workload::Milliseconds kRenewalPause{1'000};
   static constexpr workload::Milliseconds kPollSlack{700};
   static constexpr workload::Milliseconds kPollRetryDelay{200};
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
@@ -122,6 +125,7 @@
                        {"runs", core_.workers[id].runs.size()},
                        {"epoch", core_.options.epoch}});
     link.lease.BeginLife(core_.options.max_lease, core_.port.Now());
+    link.taken_end = 0;
     link.acknowledged_end = 0;
     link.sent_acknowledgement = 0;
     link.born_at_ms = born_at_ms;
@@ -198,9 +202,9 @@
       TakeRunning(id, it);
     }
     WorkerLink& link = core_.links[id];
-    std::uint64_t last_end = link.acknowledged_end;
+    std::uint64_t last_end = link.taken_end;
     for (const EndedItem& it : lists.ended) {
-      if (it.number > link.acknowledged_end) {
+      if (it.number > link.taken_end) {
         last_end = std::max(last_end, it.number);
         listed.insert(it.run);
         ends_.TakeEnd(id, it.run, it.reason, it.checkpoint, records);
@@ -210,11 +214,16 @@
       TakeMissing(id, listed, sent_at, records);
     }
     pacing_.OnReport(id);
-    if (records.empty() && last_end == link.acknowledged_end) {
-      Poll(id);
-      return;
+    if (!records.empty() || last_end > link.taken_end) {
+      RecordEnds(id, records, last_end);
     }
-    link.is_recording_ends = true;
+    CallAgain(id);
+  }
+
+  void RecordEnds(const std::string& id, const Records& records, std::uint64_t last_end) {
+    WorkerLink& link = core_.links[id];
+    ++link.open_records;
+    link.taken_end = last_end;
     LogEnds("ends_listed", id, last_end);
     core_.AppendApplied(records, [this, id, last_end, rebirths = link.rebirths] {
       OnEndsRecorded(id, last_end, rebirths);
@@ -226,13 +235,33 @@
   void OnEndsRecorded(const std::string& id, std::uint64_t last_end, std::uint32_t rebirths) {
     WorkerLink& link = core_.links[id];
     LogEnds("ends_recorded", id, last_end);
-    link.is_recording_ends = false;
+    --link.open_records;
     if (link.rebirths == rebirths) {
       link.acknowledged_end = std::max(link.acknowledged_end, last_end);
     }
     Poll(id);
   }
 
+  void CallAgain(const std::string& id) {
+    WorkerLink& link = core_.links[id];
+    if (!link.HasUnrecordedEnds()) {
+      Poll(id);
+    } else if (!std::exchange(link.is_renewal_due, true)) {
+      core_.port.After(kRenewalPause, core_.Guard([this, id] { RenewWhileRecording(id); }));
+    }
+  }
+
+  void RenewWhileRecording(const std::string& id) {
+    const auto link = core_.links.find(id);
+    if (link == core_.links.end()) {
+      return;
+    }
+    link->second.is_renewal_due = false;
+    if (link->second.HasUnrecordedEnds() && !link->second.is_polling) {
+      CallForLists(id, core_.workers[id].runs.empty());
+    }
+  }
+
   // An acknowledgement ends a run for good: each step to it is logged with the life that it names.
   void LogEnds(std::string_view event, const std::string& id, std::uint64_t last_end) const {
     logging::LogEvent(logging::LogLevel::kInfo, event,
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -155,6 +155,22 @@
   EXPECT_EQ(cluster.StartsOf(kTask), 1);
 }
 
+// Guards against leases that end because a run beside them ended while the store was away: the
+// worker was not called again before that end was recorded.
+TEST_F(EntryClusterTest, Store_AwayWhileARunEnds_RunsBesideItGoOn) {
+  StandInCluster cluster(3, 1, kLongRunTime);
+  EXPECT_EQ(cluster.Submit(0, "00000000000000a2", kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(7'000));
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.RunFor(Milliseconds(4'000));
+  cluster.store.Refuse(true);
+  cluster.RunFor(Milliseconds(9'500));
+  cluster.store.Refuse(false);
+  EXPECT_TRUE(cluster.RunUntilState(kJob, "completed", Milliseconds(8'000)));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_EQ(cluster.StartsOf("00000000000000a2.0.0.0"), 1);
+}
+
 // Guards against runs on a silent worker that hold their room for ever: each call to it was
 // counted as a longer lease.
 TEST_F(EntryClusterTest, Worker_CutOff_ItsTaskRunsElsewhereAfterTheLease) {
