Load a job that the owner has forgotten together with its end

A job that had completed could run again after its owner had forgotten it. An owner drops a job from its table at once and appends the records that drop it. If its reading has to start over before these are stored, the load gives the job's submission again. The owner took only what callers cause from a load, the submission without the end, and placed the job anew.

The owner now takes the end of a job that it does not know. The keys of ends come before those of submissions, so that a load which gives a submission has given its end, unless the store has dropped both.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -243,7 +243,10 @@
     }
     const bool is_of_callers = std::holds_alternative<workload::SubmissionSet>(*record) ||
                                std::holds_alternative<workload::CancellationSet>(*record);
-    if (owner_ == nullptr || is_of_callers) {
+    // An owner that has forgotten a job and loads it again must know that it has ended.
+    const auto* end = std::get_if<workload::JobEndSet>(&*record);
+    const bool is_end_of_unknown = end != nullptr && jobs_.Find(end->job) == nullptr;
+    if (owner_ == nullptr || is_of_callers || is_end_of_unknown) {
       jobs_.Apply(*record);
     }
     return is_of_callers;
