Repeat a stop until the worker's address is known

A task of a cancelled job ran on to its end (UNASKED). An owner takes recorded runs over before it has read the workers' entries, and a worker's entry may be missing for a while. A cancellation at that time marked the run as being stopped, and the stop was dropped because there was no address to send it to. Once the worker was listed and called, its run counted as being stopped, so that no other stop was sent, and each call renewed its lease.

The test failed before, with "RunningCount() is 1, expected 0":

Cancel_BeforeTheNewOwnerKnowsTheWorker_StopsTheTaskOnceItIsListed

A stop without an address now waits like one without an answer, and goes out once the entry is there. Entry tests: all pass.

--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -184,6 +184,8 @@
 
   void SendStop(const std::string& worker, const workload::TaskRun& run) {
     if (core_.workers[worker].info.address.empty()) {
+      // The run was taken over, and the worker's entry has not been read yet.
+      RetryStop(worker, run);
       return;
     }
     core_.Order(
@@ -203,6 +205,10 @@
       core_.call_worker(worker);
       return;
     }
+    RetryStop(worker, run);
+  }
+
+  void RetryStop(const std::string& worker, const workload::TaskRun& run) {
     core_.port.After(kOrderRetryDelay, core_.Guard([this, worker, run] {
       if (core_.FindRun(worker, run) != nullptr) {
         SendStop(worker, run);
