Log a start that waited for a current view as such

A start that waits because the operators' items were not read of late was logged every 300 ms as a repeat without an answer. It now waits in RetryStart without a line and says why it is sent. CallPort described a member that does not exist; it now says what Now promises.

--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -110,6 +110,9 @@
     return placed == it->second.runs.end() ? nullptr : &placed->second;
   }
 
+  /// @brief Whether what operators wrote is known up to now; without it nothing may start.
+  [[nodiscard]] bool HasCurrentView() const { return operators.IsCurrent(port.Now()); }
+
   /// @brief Whether a start may be ordered on a worker, by what is known now.
   [[nodiscard]] bool MayStartOn(const std::string& worker) const {
     const auto it = workers.find(worker);
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -56,7 +56,7 @@
   }
 
   void Plan() {
-    if (core_.is_resigning || !core_.operators.IsCurrent(core_.port.Now())) {
+    if (core_.is_resigning || !core_.HasCurrentView()) {
       return;
     }
     const workload::PlanRequest request{
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -26,7 +26,7 @@
   /// @brief Orders a start, unless what was published since it was planned speaks against its
   /// worker. Precondition: it is recorded, and its run holds room.
   void OrderStart(const workload::PlannedStart& start) {
-    if (!core_.operators.IsCurrent(core_.port.Now())) {
+    if (!core_.HasCurrentView()) {
       RetryStart(start);
       return;
     }
@@ -151,10 +151,10 @@
         return;
       }
       // An order grants a lease, which a silent worker must not get.
-      if (core_.links[start.worker].failures > 0) {
+      if (core_.links[start.worker].failures > 0 || !core_.HasCurrentView()) {
         RetryStart(start);
       } else {
-        LogStart("start_repeated", start, "no answer");
+        LogStart("start_repeated", start, run->may_start_late ? "no answer" : "view was old");
         OrderStart(start);
       }
     }));
--- a/src/entry/port/call_port.h
+++ b/src/entry/port/call_port.h
@@ -20,7 +20,8 @@
 /// All members are called on one thread, and all handlers run there.
 /// - Call sends a request and runs the handler once, never before Call returns.
 /// - After runs a function once, after a delay.
-/// - Now and UnixNowMs give the clocks; SuspendedFor the time that the process was suspended.
+/// - Now and UnixNowMs give the clocks. Now goes on while the process is frozen, so that what is
+///   handled afterwards can be seen to be old.
 template <class P>
 concept CallPort = requires(P port, std::string address, net::HttpRequest request,
                             workload::Milliseconds time, CallHandler handler,
