Stop nothing for an urgent gang that can't be whole

Callers of less urgent queues saw work thrown away for nothing: room was cleared task by task for an urgent gang, although all workers together can't hold all its tasks. A part of a gang can't start, so the room stayed claimed and empty.

Cause: only gangs that prefer one rack were checked to be whole before the first stop; others were given room until the first task found none.

Evidence: UrgentGangTest.Gang_ThatCannotBeWhole_StopsNothing failed before with "Value of: Plan(kLateMs).preemptions.empty() Actual: false Expected: true".

Now any gang is counted first against the room that workers would have after all stops that are allowed for it.

--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -7,6 +7,19 @@
 #include "clementineloom/workload/detail/victim_search.h"
 
 namespace clementineloom::workload::detail {
+namespace {
+
+// Whether workers have room for all tasks of a step once all that may be stopped for it has ended.
+bool CanHoldAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) {
+  auto missing = static_cast<std::int64_t>(step.task_indexes.size());
+  for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
+    const std::int64_t count = FitCount(**it, (*it)->FreeableFor(step), step);
+    missing -= count > 0 && IsEligible(*(*it)->worker, step) ? count : 0;
+  }
+  return missing <= 0;
+}
+
+}  // namespace
 
 UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms,
                            const GuaranteeTable& guarantees)
@@ -51,6 +64,9 @@
     MakeRoomOnOneRack(step);
     return;
   }
+  if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
+    return;
+  }
   for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
     auto choice = KeepLast(step, {step.step, step.task_indexes[n]});
     if (!choice) {
@@ -86,14 +102,10 @@
 
 std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(
     const StartCandidate& step, const std::vector<WorkerRoom*>& rack) const {
-  const auto needed = static_cast<std::int64_t>(step.task_indexes.size());
-  std::int64_t fits = 0;
-  for (const WorkerRoom* it : rack) {
-    fits += FitCount(*it, it->FreeableFor(step), step);
-  }
-  if (fits < needed) {
+  if (!CanHoldAll(step, rack)) {
     return std::nullopt;
   }
+  const std::size_t needed = step.task_indexes.size();
   std::vector<WorkerRoom> copies;
   std::map<const WorkerRoom*, WorkerRoom*> originals;
   copies.reserve(rack.size());
@@ -104,7 +116,7 @@
   }
   ReclaimBudget budget = budget_;
   RackClaim claim;
-  for (std::int64_t n = 0; n < needed; ++n) {
+  for (std::size_t n = 0; n < needed; ++n) {
     auto choice = Choose(trial, step, budget);
     if (!choice) {
       return std::nullopt;
