Clear several racks for an urgent gang that no single rack can hold

Cause: a gang that prefers one rack may start on several after 700 ms, but runs were stopped for it on one rack only. If it is larger than a rack, or no rack can be cleared because of what may not be stopped there, nothing was stopped at all, and it waited until enough workers were free by themselves.

Evidence: two of UrgentGangTest failed before.

Now room is claimed on all racks once no rack can be cleared and the wait for a rack is over. Room that is being cleared on several racks is kept, even if a rack becomes possible meanwhile, because the runs that were stopped for it are lost.

--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -34,7 +34,8 @@
 
   /// @brief Claims room for the tasks of a step. Precondition: none is held for it.
   /// @param placed tasks of it, from the first, that have been given room
-  void MakeRoom(const StartCandidate& step, std::size_t placed);
+  /// @param waits_for_rack whether a step that prefers one rack may not be spread yet
+  void MakeRoom(const StartCandidate& step, std::size_t placed, bool waits_for_rack);
 
   [[nodiscard]] const std::vector<Preemption>& preemptions() const { return preemptions_; }
   [[nodiscard]] const std::vector<RoomClaim>& claims() const { return claims_; }
@@ -52,7 +53,10 @@
 
   // Holds an amount for each task in the room that the last plan claimed for it.
   void HoldEach(const StartCandidate& step, const Resources& amount);
-  void MakeRoomOnOneRack(const StartCandidate& step);
+  // Returns whether any rack can hold all tasks.
+  bool MakeRoomOnOneRack(const StartCandidate& step);
+  // Whether the last plan claimed room for a step on more than one rack.
+  [[nodiscard]] bool WasSpread(const StartCandidate& step) const;
   // Tries to claim room for all tasks on copies of the rack's rooms.
   [[nodiscard]] std::optional<RackClaim> TryRack(const StartCandidate& step,
                                                  const std::vector<WorkerRoom*>& rack) const;
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -58,10 +58,11 @@
   return is_kept ? std::optional(Choice{room, {}, {}}) : std::nullopt;
 }
 
-void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed) {
+void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed, bool waits_for_rack) {
   rooms_.ListVictims(guarantees_);
-  if (step.spec().prefers_one_rack) {
-    MakeRoomOnOneRack(step);
+  // Room that is being cleared on several racks isn't given up for one rack: its runs are lost.
+  if (step.spec().prefers_one_rack && !WasSpread(step) &&
+      (MakeRoomOnOneRack(step) || waits_for_rack)) {
     return;
   }
   if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
@@ -79,7 +80,7 @@
   }
 }
 
-void UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
+bool UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
   std::optional<RackClaim> best;
   if (const WorkerRoom* last = LastRoom({step.step, step.task_indexes.front()})) {
     best = TryRack(step, rooms_.On(last->worker->info.rack));
@@ -98,6 +99,19 @@
       Carry(best->choices[n], step, step.task_indexes[n]);
     }
   }
+  return best.has_value();
+}
+
+bool UrgentClaims::WasSpread(const StartCandidate& step) const {
+  const std::string* rack = nullptr;
+  for (const std::uint32_t index : step.task_indexes) {
+    const WorkerRoom* room = LastRoom({step.step, index});
+    if (room != nullptr && rack != nullptr && room->worker->info.rack != *rack) {
+      return true;
+    }
+    rack = room == nullptr ? rack : &room->worker->info.rack;
+  }
+  return false;
 }
 
 std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -72,7 +72,7 @@
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
     if (!is_whole && step.priority() == kPreemptingPriority) {
-      claims_.MakeRoom(step, plan_.starts.size() - before);
+      claims_.MakeRoom(step, plan_.starts.size() - before, IsWorthWaiting(step));
     }
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
       AskAbout(step);
--- a/tests/workload/urgent_gang_test.cc
+++ b/tests/workload/urgent_gang_test.cc
@@ -8,7 +8,8 @@
 class UrgentGangTest : public PlannerTest {
  protected:
   static constexpr std::int64_t kAcceptedAtMs = 90'000;
-  // After the time for which an urgent gang waits for a rack.
+  // Before and after the time for which an urgent gang waits for a rack.
+  static constexpr std::int64_t kEarlyMs = kAcceptedAtMs + 100;
   static constexpr std::int64_t kLateMs = kAcceptedAtMs + 1'000;
 
   // Three workers on two racks, full of less urgent work.
@@ -27,6 +28,34 @@
   }
 };
 
+// Guards against an urgent gang for which nothing is ever stopped, because no single rack can hold
+// it.
+TEST_F(UrgentGangTest, Gang_LargerThanAnyRack_AfterItsWait_IsGivenRoomOnSeveral) {
+  FillWithBulk();
+  SubmitGang(3, true);
+  EXPECT_TRUE(Plan(kEarlyMs).preemptions.empty());
+  const StartPlan plan = Plan(kLateMs);
+  EXPECT_EQ(plan.preemptions.size(), 3U);
+  for (const Preemption& it : plan.preemptions) {
+    workers_[it.worker].Remove(it.run);
+  }
+  claims_ = plan.claims;
+  EXPECT_EQ(Plan(kLateMs).starts.size(), 3U);
+}
+
+// Guards against room that is cleared on several racks and then once more on one.
+TEST_F(UrgentGangTest, Gang_WithRoomBeingClearedOnSeveralRacks_StopsNoMoreWhenOneRackWouldDo) {
+  FillWithBulk();
+  workers_["w3"].usable_from = SteadyTime::max();
+  SubmitGang(2, true);
+  const StartPlan first = Plan(kLateMs);
+  ASSERT_EQ(first.preemptions.size(), 2U);
+  BeginStops(first);
+  claims_ = first.claims;
+  workers_["w3"].usable_from = {};
+  EXPECT_TRUE(Plan(kLateMs).preemptions.empty());
+}
+
 // Guards against work that is thrown away for a part of a gang, which can't start.
 TEST_F(UrgentGangTest, Gang_ThatCannotBeWhole_StopsNothing) {
   FillWithBulk();
