Clear several racks for guaranteed gangs only, and after 1,500 ms

A gang on several racks works three times as long, and its room was cleared at the cost of others.

Runs are now stopped on several racks only for a gang within its team's guarantee, and only once it has waited 1,500 ms for one rack; other gangs go there only if there is free room, as before.

--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -34,8 +34,8 @@
 
   /// @brief Claims room for the tasks of a step. Precondition: none is held for it.
   /// @param placed tasks of it, from the first, that have been given room
-  /// @param waits_for_rack whether a step that prefers one rack may not be spread yet
-  void MakeRoom(const StartCandidate& step, std::size_t placed, bool waits_for_rack);
+  /// @param keeps_to_rack whether a step that prefers one rack gets room on one only
+  void MakeRoom(const StartCandidate& step, std::size_t placed, bool keeps_to_rack);
 
   [[nodiscard]] const std::vector<Preemption>& preemptions() const { return preemptions_; }
   [[nodiscard]] const std::vector<RoomClaim>& claims() const { return claims_; }
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -58,11 +58,11 @@
   return is_kept ? std::optional(Choice{room, {}, {}}) : std::nullopt;
 }
 
-void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed, bool waits_for_rack) {
+void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed, bool keeps_to_rack) {
   rooms_.ListVictims(guarantees_);
   // Room that is being cleared on several racks isn't given up for one rack: its runs are lost.
   if (step.spec().prefers_one_rack && !WasSpread(step) &&
-      (MakeRoomOnOneRack(step) || waits_for_rack)) {
+      (MakeRoomOnOneRack(step) || keeps_to_rack)) {
     return;
   }
   if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -28,6 +28,9 @@
 constexpr std::int64_t kMinWaitForRackMs = 500;
 // Longest wait of such a queue for a rack, a fraction of the time in which it has to begin.
 constexpr std::int64_t kMaxUrgentWaitMs = 700;
+// Wait of a guaranteed gang for a rack before runs are stopped for it on several; longer, because
+// others lose work then, and the gang itself runs much slower.
+constexpr std::int64_t kMaxGuaranteedRackWaitMs = 1'500;
 // Workers named in a question: enough to find room, and each costs the service time.
 constexpr std::size_t kWorkersInQuestion = 30;
 
@@ -72,7 +75,7 @@
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
     if (!is_whole && step.priority() == kPreemptingPriority) {
-      claims_.MakeRoom(step, plan_.starts.size() - before, IsWorthWaiting(step));
+      claims_.MakeRoom(step, plan_.starts.size() - before, !MayStopOnSeveralRacks(step));
     }
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
       AskAbout(step);
@@ -115,6 +118,10 @@
     return request_.unix_now_ms < step.due_at_ms + wait_ms;
   }
 
+  bool MayStopOnSeveralRacks(const StartCandidate& step) const {
+    return step.is_guaranteed && request_.unix_now_ms >= step.due_at_ms + kMaxGuaranteedRackWaitMs;
+  }
+
   WorkerRoom* ChooseNearData(const StartCandidate& step) {
     const std::string& rack = step.spec().data_rack;
     if (!rack.empty() && HasDataRack(step)) {
