--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -7,6 +7,19 @@
 #include "clementineloom/workload/detail/victim_search.h"
 
 namespace clementineloom::workload::detail {
+namespace {
+
+// Whether workers have room for all tasks of a step once all that may be stopped for it has ended.
+bool CanHoldAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) {
+  auto missing = static_cast<std::int64_t>(step.task_indexes.size());
+  for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
+    const std::int64_t count = FitCount(**it, (*it)->FreeableFor(step), step);
+    missing -= count > 0 && IsEligible(*(*it)->worker, step) ? count : 0;
+  }
+  return missing <= 0;
+}
+
+}  // namespace
 
 UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms,
                            const GuaranteeTable& guarantees)
@@ -45,10 +58,14 @@
   return is_kept ? std::optional(Choice{room, {}, {}}) : std::nullopt;
 }
 
-void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed) {
+void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed, bool keeps_to_rack) {
   rooms_.ListVictims(guarantees_);
-  if (step.spec().prefers_one_rack) {
-    MakeRoomOnOneRack(step);
+  // Room that is being cleared on several racks isn't given up for one rack: its runs are lost.
+  if (step.spec().prefers_one_rack && !WasSpread(step) &&
+      (MakeRoomOnOneRack(step) || keeps_to_rack)) {
+    return;
+  }
+  if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
     return;
   }
   for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
@@ -63,7 +80,7 @@
   }
 }
 
-void UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
+bool UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
   std::optional<RackClaim> best;
   if (const WorkerRoom* last = LastRoom({step.step, step.task_indexes.front()})) {
     best = TryRack(step, rooms_.On(last->worker->info.rack));
@@ -82,18 +99,27 @@
       Carry(best->choices[n], step, step.task_indexes[n]);
     }
   }
+  return best.has_value();
+}
+
+bool UrgentClaims::WasSpread(const StartCandidate& step) const {
+  const std::string* rack = nullptr;
+  for (const std::uint32_t index : step.task_indexes) {
+    const WorkerRoom* room = LastRoom({step.step, index});
+    if (room != nullptr && rack != nullptr && room->worker->info.rack != *rack) {
+      return true;
+    }
+    rack = room == nullptr ? rack : &room->worker->info.rack;
+  }
+  return false;
 }
 
 std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(
     const StartCandidate& step, const std::vector<WorkerRoom*>& rack) const {
-  const auto needed = static_cast<std::int64_t>(step.task_indexes.size());
-  std::int64_t fits = 0;
-  for (const WorkerRoom* it : rack) {
-    fits += FitCount(*it, it->FreeableFor(step), step);
-  }
-  if (fits < needed) {
+  if (!CanHoldAll(step, rack)) {
     return std::nullopt;
   }
+  const std::size_t needed = step.task_indexes.size();
   std::vector<WorkerRoom> copies;
   std::map<const WorkerRoom*, WorkerRoom*> originals;
   copies.reserve(rack.size());
@@ -104,7 +130,7 @@
   }
   ReclaimBudget budget = budget_;
   RackClaim claim;
-  for (std::int64_t n = 0; n < needed; ++n) {
+  for (std::size_t n = 0; n < needed; ++n) {
     auto choice = Choose(trial, step, budget);
     if (!choice) {
       return std::nullopt;
--- /dev/null
+++ b/tests/workload/urgent_gang_test.cc
@@ -0,0 +1,77 @@
+#include <gtest/gtest.h>
+
+#include "workload/planner_test.h"
+
+namespace clementineloom::workload {
+namespace {
+
+class UrgentGangTest : public PlannerTest {
+ protected:
+  static constexpr std::int64_t kAcceptedAtMs = 90'000;
+  // Before and after the time for which a guaranteed gang waits for a rack to be cleared.
+  static constexpr std::int64_t kEarlyMs = kAcceptedAtMs + 1'000;
+  static constexpr std::int64_t kLateMs = kAcceptedAtMs + 2'000;
+
+  // Three workers on two racks, full of less urgent work.
+  void FillWithBulk() {
+    AddWorker("w1", "r1");
+    AddWorker("w2", "r2");
+    AddWorker("w3", "r2");
+    Submit("bulk", Step(3, 8), 2);
+    Carry(Plan());
+  }
+  void SubmitGang(std::uint32_t tasks, bool prefers_one_rack) {
+    StepSpec gang = Step(tasks, 8);
+    gang.is_gang = true;
+    gang.prefers_one_rack = prefers_one_rack;
+    Submit("gang", gang, 0, kAcceptedAtMs, "team");
+  }
+};
+
+// Guards against a gang within its guarantee for which nothing is ever stopped, because no single
+// rack can hold it.
+TEST_F(UrgentGangTest, GuaranteedGang_LargerThanAnyRack_IsGivenRoomOnSeveralAfterItsWait) {
+  FillWithBulk();
+  teams_ = {{"team", {}, 24}};
+  SubmitGang(3, true);
+  EXPECT_TRUE(Plan(kEarlyMs).preemptions.empty());
+  const StartPlan plan = Plan(kLateMs);
+  EXPECT_EQ(plan.preemptions.size(), 3U);
+  for (const Preemption& it : plan.preemptions) {
+    workers_[it.worker].Remove(it.run);
+  }
+  claims_ = plan.claims;
+  EXPECT_EQ(Plan(kLateMs).starts.size(), 3U);
+}
+
+// Guards against room that is cleared on several racks and then once more on one.
+TEST_F(UrgentGangTest, GuaranteedGang_WithRoomBeingClearedOnSeveralRacks_KeepsItWhenOneWouldDo) {
+  FillWithBulk();
+  teams_ = {{"team", {}, 16}};
+  workers_["w3"].usable_from = SteadyTime::max();
+  SubmitGang(2, true);
+  const StartPlan first = Plan(kLateMs);
+  ASSERT_EQ(first.preemptions.size(), 2U);
+  BeginStops(first);
+  claims_ = first.claims;
+  workers_["w3"].usable_from = {};
+  EXPECT_TRUE(Plan(kLateMs).preemptions.empty());
+}
+
+// Guards against work that is thrown away for a gang that runs much slower for it, though nothing
+// is guaranteed.
+TEST_F(UrgentGangTest, Gang_BeyondItsGuarantee_IsGivenRoomOnOneRackOnly) {
+  FillWithBulk();
+  SubmitGang(3, true);
+  EXPECT_TRUE(Plan(kLateMs).preemptions.empty());
+}
+
+// Guards against work that is thrown away for a part of a gang, which can't start.
+TEST_F(UrgentGangTest, Gang_ThatCannotBeWhole_StopsNothing) {
+  FillWithBulk();
+  SubmitGang(4, false);
+  EXPECT_TRUE(Plan(kLateMs).preemptions.empty());
+}
+
+}  // namespace
+}  // namespace clementineloom::workload
