Let guaranteed steps wait a second before they go first and reclaim

Urgent runs take 2.5 s on average, so most room comes back without a stop; and a step that goes first at once takes the room that was cleared for others, for which more runs are stopped then.

A guaranteed step is now treated like other urgent steps for 1,000 ms. After that it goes before all other steps and claims, and urgent runs of teams beyond their guarantees are stopped for it, which leaves time for a stop (400 ms) and a start.

GuaranteePlanTest.Guaranteed_ThatIsJustDue_WaitsASecondBeforeItStopsUrgentWork is new.

--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -18,6 +18,9 @@
   std::int64_t due_at_ms = 0;
   /// Urgent, and its team stays within its guarantee with it.
   bool is_guaranteed = false;
+  /// Guaranteed, and it has waited long enough to go before all other steps, and to have urgent
+  /// runs beyond guarantees stopped for it.
+  bool may_reclaim = false;
 
   [[nodiscard]] const StepSpec& spec() const { return job->submission->steps[step.step]; }
   [[nodiscard]] std::uint32_t priority() const { return job->submission->queue.priority; }
--- a/include/clementineloom/workload/detail/victim_search.h
+++ b/include/clementineloom/workload/detail/victim_search.h
@@ -26,7 +26,7 @@
 /// @brief The cheapest victims whose end makes room for one more task of a step on a worker; an
 /// empty set if there is room once the runs that are being stopped have ended.
 ///
-/// Urgent runs are stopped only for a step within its guarantee.
+/// Urgent runs are stopped only for a step that may reclaim.
 /// Precondition: the victims of the room are listed. Complexity: O(victims^2).
 /// @return nothing if no set makes enough room
 [[nodiscard]] std::optional<VictimSet> FindVictims(const WorkerRoom& room,
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -41,7 +41,7 @@
   /// @brief The most room that there is for a step once all that may be stopped for it has ended.
   [[nodiscard]] Resources FreeableFor(const StartCandidate& step) const {
     const Resources without_urgent = free_later + stoppable;
-    return step.is_guaranteed ? without_urgent + reclaimable : without_urgent;
+    return step.may_reclaim ? without_urgent + reclaimable : without_urgent;
   }
 
   /// @brief Adds a run that may be stopped.
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -100,7 +100,7 @@
     if (needed.FitsIn(freed)) {
       break;
     }
-    if (it.team && !(step.is_guaranteed && budget.Allows(it, chosen))) {
+    if (it.team && !(step.may_reclaim && budget.Allows(it, chosen))) {
       continue;
     }
     freed = freed + it.run->reserved;
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -31,6 +31,9 @@
 // Wait of a guaranteed gang for a rack before runs are stopped for it on several; longer, because
 // others lose work then, and the gang itself runs much slower.
 constexpr std::int64_t kMaxGuaranteedRackWaitMs = 1'500;
+// Wait of a guaranteed step before it goes first and urgent runs are stopped for it: most end by
+// themselves soon. What is left of the time in which it has to begin covers a stop and a start.
+constexpr std::int64_t kReclaimAfterMs = 1'000;
 // Workers named in a question: enough to find room, and each costs the service time.
 constexpr std::size_t kWorkersInQuestion = 30;
 
@@ -235,11 +238,12 @@
   detail::GuaranteeTable guarantees(request);
   for (StartCandidate& it : candidates) {
     it.is_guaranteed = guarantees.Admit(it);
+    it.may_reclaim = it.is_guaranteed && request.unix_now_ms >= it.due_at_ms + kReclaimAfterMs;
   }
   const auto rest = std::stable_partition(candidates.begin(), candidates.end(),
-                                          [](const auto& it) { return it.is_guaranteed; });
+                                          [](const auto& it) { return it.may_reclaim; });
   Pass pass(request, guarantees);
-  // Room that was cleared for work beyond a guarantee goes to work within one, if that needs it.
+  // Room that was cleared for other work goes to work within a guarantee that has waited for long.
   pass.PlaceAll({candidates.begin(), rest});
   pass.PlaceAll({rest, candidates.end()});
   return pass.Take();
--- a/tests/workload/guarantee_plan_test.cc
+++ b/tests/workload/guarantee_plan_test.cc
@@ -200,6 +200,16 @@
   EXPECT_EQ(second.claims[0].task.step.job, "urgent");
 }
 
+// Guards against urgent work that is thrown away although it would soon have ended by itself.
+TEST_F(GuaranteePlanTest, Guaranteed_ThatIsJustDue_WaitsASecondBeforeItStopsUrgentWork) {
+  AddWorker("w1", "r1");
+  teams_ = {{"b", {}, 4}};
+  Start("beyond", Step(8, 1), 0, "a");
+  Submit("urgent", Step(1, 2), 0, 90'000, "b");
+  EXPECT_TRUE(Plan(90'999).preemptions.empty());
+  EXPECT_EQ(Plan(91'000).preemptions.size(), 2U);
+}
+
 // Guards against stops for a guarantee that the operator has taken away.
 TEST_F(GuaranteePlanTest, Urgent_WhoseGuaranteeWasLowered_StopsNoUrgentWork) {
   AddWorker("w1", "r1");
