Hold a task until a run of an order of the past has ended

A worker may list a run that its owner has not recorded: an order that was carried out late, in a life that knows nothing of the run. The owner sent one stop and forgot the run, so that its room counted as free and its task was started elsewhere while it ran; a lost stop was not repeated where nothing else ran. Such a run now holds its room and its task, and the stop is repeated until its end is listed.

Before: Run_OfAnOrderOfThePast_HoldsItsTaskUntilItHasEnded failed, the task ran on two workers.

--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -64,6 +64,18 @@
     SendStop(worker, run);
   }
 
+  /// @brief Stops a run that a worker lists and that is not recorded: an order of the past that was
+  /// carried out late. It holds its room, and its task, until its end is listed.
+  void StopUnrecorded(const std::string& worker, const workload::TaskRun& run) {
+    const workload::StepSpec* spec = core_.jobs.FindStep(run.task.step);
+    workload::PlacedRun placed = workload::PlacedRun::Of(
+        run, spec == nullptr ? workload::StepSpec{} : *spec, 0, core_.port.Now());
+    placed.stage = workload::RunStage::kStopping;
+    placed.confirmed_at = workload::SteadyTime::max();
+    core_.workers[worker].Add(std::move(placed));
+    SendStop(worker, run);
+  }
+
   /// @brief Makes a worker that began another life refuse a run that was ordered in a former one:
   /// the new life remembers neither the run nor a stop of it.
   /// Precondition: the run holds room on the worker.
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -275,12 +275,12 @@
   void TakeRunning(const std::string& id, const RunningItem& item) {
     workload::PlacedRun* run = core_.FindRun(id, item.run);
     if (run == nullptr) {
-      // Nothing that is recorded: a late order of the past.
       logging::LogEvent(logging::LogLevel::kWarning, "unknown_run_stopped",
-                        {{"task", codec::TaskName(item.run.task)}, {"worker", id}});
-      const workload::WorkerInfo& info = core_.workers[id].info;
-      core_.port.Call(info.address, Platform::StopRequest({item.run, core_.options.epoch}, info.id),
-                      OwnerTiming::kOrderTimeout, [](const net::ClientResult&) {});
+                        {{"task", codec::TaskName(item.run.task)},
+                         {"run", item.run.run},
+                         {"worker", id},
+                         {"life", core_.links[id].born_at_ms}});
+      orders_.StopUnrecorded(id, item.run);
       return;
     }
     run->listed_in_life = core_.links[id].born_at_ms;
--- a/tests/entry/worker_life_test.cc
+++ b/tests/entry/worker_life_test.cc
@@ -8,6 +8,7 @@
 namespace clementineloom::entry {
 namespace {
 
+using standin::SimWorld;
 using standin::StandInCluster;
 using workload::Milliseconds;
 
@@ -105,5 +106,28 @@
   EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
 }
 
+// Guards against two runs of one task: an order of the past was carried out by a new life, and its
+// task was started elsewhere before that run had ended.
+TEST_F(WorkerLifeTest, Run_OfAnOrderOfThePast_HoldsItsTaskUntilItHasEnded) {
+  StandInCluster cluster(1, 2, kLongRunTime);
+  cluster.store.Put("keyed.op", "evacuate/kolka", "{}");
+  cluster.RunFor(Milliseconds(300));
+  EXPECT_EQ(cluster.Submit(0, kJob, kOneTask)->status, kOk);
+  cluster.workers[0]->Restart();
+  const SimWorld::Server* worker = cluster.world.Find(cluster.workers[0]->address());
+  ASSERT_NE(worker, nullptr);
+  (*worker)({"POST", "/run-start",
+             net::HttpHeaders().With("X-Clementineloom-Target-Instance", cluster.workers[0]->id()),
+             R"({"task":"00000000000000a1.0.0.0","runId":1,"spec":"x","deadlineMs":5000,)"
+             R"("fencingToken":1})"},
+            [](const net::HttpResponse&) {});
+  cluster.Register(*cluster.workers[0], "draining");
+  cluster.RunFor(Milliseconds(20));
+  cluster.store.Put("keyed.op", "evacuate/kolka", "");
+  cluster.RunFor(Milliseconds(1'000));
+  EXPECT_TRUE(cluster.doubled.empty());
+  EXPECT_EQ(cluster.WorkersRunning(kTask).size(), 1U);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
