--- a/tests/adapter/adapter_test.cc
+++ b/tests/adapter/adapter_test.cc
@@ -53,6 +53,12 @@
             AppendStatus::kOutOfSequence);
   EXPECT_EQ(P::ParseAppend(Answer(412, "{}")).status, AppendStatus::kConflict);
   EXPECT_EQ(P::ParseAppend(Answer(503, "")).status, AppendStatus::kRefused);
+  for (const int status : {429, 507}) {
+    EXPECT_EQ(P::ParseAppend(Answer(status, "")).status, AppendStatus::kRefused) << status;
+  }
+  for (const int status : {500, 502, 504}) {
+    EXPECT_EQ(P::ParseAppend(Answer(status, "")).status, AppendStatus::kUnknown) << status;
+  }
   EXPECT_EQ(P::ParseAppend(NoAnswer(RunState::kDidNotRun)).status, AppendStatus::kRefused);
   EXPECT_EQ(P::ParseAppend(NoAnswer(RunState::kMayHaveRun)).status, AppendStatus::kUnknown);
 }
