Repeat a renewal that had no answer while ends are being recorded

Callers would see work start over after an outage of the store: once one renewal had no answer while an end was being recorded, the worker was not called again before the store had taken that end, and the leases of the runs beside it ended after 5.5 s.

Cause: the retry after a call without an answer goes through Poll, which does nothing while ends are being recorded, and only an answered call arranges the next renewal.

Evidence, before: WorkerRenewalTest.Renewal_LostWhileAnEndIsBeingRecorded_ IsRepeated: 2 starts in place of 1, after answers to calls for lists were lost for 1.2 s in an outage of 10 s. After: 1 start, 89 of 89 entry tests pass.

The retry now also makes the call that renews while ends are being recorded; each of the two does nothing where the other one is due.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -191,7 +191,13 @@
     core_.Rest(id, OwnerTiming::kRestAfterFailure);
     const bool is_urgent = !core_.workers[id].runs.empty() && link.failures < kUrgentPolls;
     core_.port.After(is_urgent ? kPollRetryDelay : kIdlePollRetryDelay,
-                     core_.Guard([this, id] { Poll(id); }));
+                     core_.Guard([this, id] { CallOnceMore(id); }));
+  }
+
+  // Whether or not ends of the worker are being recorded.
+  void CallOnceMore(const std::string& id) {
+    Poll(id);
+    RenewWhileRecording(id);
   }
 
   void TakeLists(const std::string& id, const WorkerLists& lists, workload::SteadyTime sent_at) {
