Stop a run that lies partly within its team's guarantee as a last resort

Callers would see an urgent job within its team's guarantee that does not begin in time (RECLAIM): a team of 2 that ran one task of 4 kept 2 of another team's accelerators for as long as the task lasted, because a run was only stopped if its team kept its whole guarantee without it.

A run may now be stopped while its team is beyond its guarantee; what it takes of the guarantee weighs more than all lost work, so that such a run is the last choice. No team stops another in turn: a team within its guarantee loses nothing, and a step that does not fit into a guarantee reclaims nothing.

--- a/include/clementineloom/workload/detail/guarantee_share.h
+++ b/include/clementineloom/workload/detail/guarantee_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -18,9 +19,13 @@
     return guaranteed > 0 && held + more <= guaranteed;
   }
 
-  /// @brief Whether the team keeps what it is guaranteed without so many of those that it holds.
-  [[nodiscard]] bool CanLose(std::int64_t amount) const {
-    return held > guaranteed && held - amount >= guaranteed;
+  /// @brief Whether one of the team's runs may be stopped, once so many accelerators are lost. The
+  /// last run that may be lies partly within the guarantee where no other size is there.
+  [[nodiscard]] bool MayLoseOneAfter(std::int64_t lost) const { return held - lost > guaranteed; }
+
+  /// @brief What a run of this size takes of the guarantee with it when it is stopped alone.
+  [[nodiscard]] std::int64_t GuaranteedPartOf(std::int64_t accelerators) const {
+    return std::clamp<std::int64_t>(guaranteed - (held - accelerators), 0, guaranteed);
   }
 
   /// @brief What the team holds beyond its guarantee.
--- a/include/clementineloom/workload/detail/stop_cost.h
+++ b/include/clementineloom/workload/detail/stop_cost.h
@@ -5,9 +5,11 @@
 
 namespace clementineloom::workload::detail {
 
-/// @brief What stops throw away. Any loss of urgent work weighs more than all other losses. An
-/// immutable value.
+/// @brief What stops throw away. Any loss of a guarantee weighs more than all lost work, and any
+/// loss of urgent work more than that of other work. An immutable value.
 struct StopCost {
+  /// Accelerators that teams lose of their guarantees.
+  std::int64_t guaranteed = 0;
   /// Core-milliseconds of urgent work.
   std::int64_t urgent = 0;
   /// Core-milliseconds of other work; more than any of it for a service task.
@@ -15,7 +17,7 @@
 
   friend auto operator<=>(const StopCost&, const StopCost&) = default;
   friend StopCost operator+(const StopCost& a, const StopCost& b) {
-    return {a.urgent + b.urgent, a.other + b.other};
+    return {a.guaranteed + b.guaranteed, a.urgent + b.urgent, a.other + b.other};
   }
 };
 
--- a/src/workload/detail/reclaim_budget.cc
+++ b/src/workload/detail/reclaim_budget.cc
@@ -16,7 +16,7 @@
   if (!victim.team || IsStopped(victim)) {
     return true;
   }
-  std::int64_t lost = victim.accelerators;
+  std::int64_t lost = 0;
   for (auto it = chosen.begin(); it != chosen.end(); ++it) {
     if (AreOneGang(*it, victim)) {
       return true;
@@ -27,7 +27,7 @@
       lost += it->accelerators;
     }
   }
-  return shares_[*victim.team].CanLose(lost);
+  return shares_[*victim.team].MayLoseOneAfter(lost);
 }
 
 void ReclaimBudget::Stop(const Victim& victim) {
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -42,16 +42,16 @@
   }
   const std::int64_t lost = LostWork(run, *spec, request.now);
   if (run.priority > kPreemptingPriority) {
-    return Victim{&run, {0, lost}, spec->is_gang, {}, 0};
+    return Victim{&run, {0, 0, lost}, spec->is_gang, {}, 0};
   }
-  const Victim victim{&run,
-                      {lost, 0},
-                      spec->is_gang,
-                      guarantees.TeamOf(*job),
-                      spec->per_task.accelerators * (spec->is_gang ? spec->task_count : 1)};
-  const bool is_beyond =
-      victim.team && guarantees.shares()[*victim.team].CanLose(victim.accelerators);
-  return is_beyond ? std::optional(victim) : std::nullopt;
+  const auto team = guarantees.TeamOf(*job);
+  if (!team || !guarantees.shares()[*team].MayLoseOneAfter(0)) {
+    return std::nullopt;
+  }
+  const std::int64_t accelerators =
+      spec->per_task.accelerators * (spec->is_gang ? spec->task_count : 1);
+  const std::int64_t guaranteed = guarantees.shares()[*team].GuaranteedPartOf(accelerators);
+  return Victim{&run, {guaranteed, lost, 0}, spec->is_gang, team, accelerators};
 }
 
 // Leaves out runs whose room is not needed after all, the dearest first.
