Write the log on a thread of ours, joined by a bounded ring

Seen: ConnectionLimitTest.Connect_BeyondLimit_IsClosedAndLogged under ThreadSanitizer, beside load: a data race in ~LoggingEvent, called by LogRefusedConnection, against a read by the writing thread of log4cxx.

Cause: callers created events of log4cxx, and its asynchronous appender handed them to its own thread. liblog4cxx is not instrumented, so that its synchronisation cannot be checked.

Now a caller formats the event to plain text (level, time, event) and queues it without waiting in a BoundedRing of 4,096 lines. One thread, LineWriter, opens, uses and destroys the destination; no object of log4cxx is touched by any other thread, and not even the error of an unreadable file leaves it but as text. A full ring counts the line under the lock of the ring, so that the count is known before the ring is empty again, and a line event=log_lines_dropped names the count once the ring is empty or 4,096 further lines are written. The former summary was no key=value line. Before ConfigureLog and after the exit handler, events are discarded.

log4cxx creates static objects at first use. Created by the first line, they were destroyed before the exit handler wrote the last lines: the new test of the exit found a use after free of a Level. They now exist before the exit handler is registered.

The stand-in of instances took lines from an appender of log4cxx that ran in the thread of the caller; it now takes them from a LogRoute.

--- a/include/clementineloom/concurrency/bounded_ring.h
+++ b/include/clementineloom/concurrency/bounded_ring.h
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <chrono>
+#include <concepts>
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
@@ -32,9 +33,19 @@
   /// @brief Adds a value unless the ring is full or closed.
   /// @return false if the value was not queued; the caller counts this as a refusal.
   [[nodiscard]] bool TryPush(T value) {
+    return TryPush(std::move(value), [](T&&) {});
+  }
+
+  /// @brief Adds a value unless the ring is full or closed; a refused value goes to a callable.
+  /// @param on_refused is called under the ring's lock, so that what it records is visible to the
+  /// thread that later takes the values of the full ring; precondition: it does not use the ring
+  /// @return false if the value was not queued.
+  template <std::invocable<T&&> OnRefused>
+  [[nodiscard]] bool TryPush(T value, OnRefused on_refused) {
     {
       const std::scoped_lock lock(mutex_);
       if (closed_ || size_ == slots_.size()) {
+        on_refused(std::move(value));
         return false;
       }
       Store(std::move(value));
--- a/src/logging/event_log.cc
+++ b/src/logging/event_log.cc
@@ -1,44 +1,24 @@
 #include "logging/event_log.h"
 
-#include <log4cxx/asyncappender.h>
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/fileappender.h>
-#include <log4cxx/level.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
-
+#include <chrono>
+#include <cstddef>
 #include <cstdlib>
-#include <exception>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "logging/format_event.h"
+#include "logging/line_writer.h"
+#include "logging/log4cxx_destination.h"
+#include "logging/log_route.h"
 
 namespace clementineloom::logging {
 namespace {
 
-// UTC with milliseconds, then the level; the event's own fields follow. log4cxx writes quotes of a
-// date pattern as they are, and takes a Z in it for the time zone.
-constexpr const char* kPattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n";
-
-// File name that selects standard output; an empty name selects standard error.
-constexpr std::string_view kStandardOutput = "-";
+using ProcessWriter = LineWriter<Log4cxxDestination>;
 
-log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return log4cxx::Level::getDebug();
-    case LogLevel::kInfo:
-      return log4cxx::Level::getInfo();
-    case LogLevel::kWarning:
-      return log4cxx::Level::getWarn();
-    case LogLevel::kError:
-      break;
-  }
-  return log4cxx::Level::getError();
-}
+// Lines that wait for the writing thread.
+constexpr std::size_t kMaxBufferedLines = 4'096;
 
 std::optional<LogLevel> ParseLevel(std::string_view name) {
   if (name == "debug") {
@@ -53,66 +33,48 @@
   return name == "error" ? std::optional(LogLevel::kError) : std::nullopt;
 }
 
-const log4cxx::LoggerPtr& RootLogger() {
-  static const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
-  return logger;
-}
-
-log4cxx::AppenderPtr MakeAppender(const std::string& file) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
-  if (file.empty()) {
-    return std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                      log4cxx::ConsoleAppender::getSystemErr());
-  }
-  if (file == kStandardOutput) {
-    return std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                      log4cxx::ConsoleAppender::getSystemOut());
-  }
-  return std::make_shared<log4cxx::FileAppender>(layout, file, true);
+// The writer of the process; null before ConfigureLog. Never destroyed, because threads may log
+// while the process exits.
+std::shared_ptr<ProcessWriter>& WriterInForce() {
+  static auto& writer = *new std::shared_ptr<ProcessWriter>();
+  return writer;
 }
 
-// Lines buffered for the writing thread. Further lines are dropped; a summary line counts them by
-// severity.
-constexpr int kMaxBufferedLines = 4'096;
-
-// Writes on a separate thread, so that a slow reader of the log never blocks a decision.
-std::shared_ptr<log4cxx::AsyncAppender> MakeAsyncAppender(const log4cxx::AppenderPtr& appender) {
-  auto it = std::make_shared<log4cxx::AsyncAppender>();
-  it->setBufferSize(kMaxBufferedLines);
-  it->setBlocking(false);
-  it->addAppender(appender);
-  return it;
+// Runs at exit; writes the lines that are still buffered.
+void CloseLog() {
+  ExchangeRoute(nullptr);
+  WriterInForce()->Stop();
 }
 
-// Runs at exit; closing the appenders writes the lines that are still buffered.
-void CloseLog() {
-  for (const log4cxx::AppenderPtr& it : RootLogger()->getAllAppenders()) {
-    it->close();
+void PutInForce(std::shared_ptr<ProcessWriter> writer, LogLevel lowest) {
+  ExchangeRoute(std::make_shared<LogRoute>(
+      LogRoute{lowest, [writer](LogLine line) { writer->Write(std::move(line)); }}));
+  const auto former = std::exchange(WriterInForce(), std::move(writer));
+  if (former) {
+    former->Stop();
+  } else {
+    // After the destination is open, so that its static objects are destroyed after CloseLog.
+    std::atexit(&CloseLog);
   }
 }
 
 }  // namespace
 
 Result<void> ConfigureLog(const std::string& level, const std::string& file) {
-  const auto parsed = ParseLevel(level);
-  if (!parsed) {
+  const auto lowest = ParseLevel(level);
+  if (!lowest) {
     return Refuse(ResultCode::kInvalidValue, "log_level");
   }
-  try {
-    RootLogger()->removeAllAppenders();
-    RootLogger()->addAppender(MakeAsyncAppender(MakeAppender(file)));
-    RootLogger()->setLevel(ToLog4cxx(*parsed));
-    std::atexit(&CloseLog);
-  } catch (const std::exception& error) {
-    return Refuse(ResultCode::kFileUnreadable, file + ": " + error.what());
-  }
+  BOOST_LEAF_AUTO(
+      writer, ProcessWriter::Start(kMaxBufferedLines, [file] { return Log4cxxDestination(file); }));
+  PutInForce(std::move(writer), *lowest);
   return {};
 }
 
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  const log4cxx::LevelPtr log4cxx_level = ToLog4cxx(level);
-  if (RootLogger()->isEnabledFor(log4cxx_level)) {
-    RootLogger()->forcedLog(log4cxx_level, FormatEvent(event, fields));
+  const auto route = CurrentRoute();
+  if (route && level >= route->lowest) {
+    route->receive(LogLine(level, std::chrono::system_clock::now(), FormatEvent(event, fields)));
   }
 }
 
--- a/tests/concurrency/bounded_ring_test.cc
+++ b/tests/concurrency/bounded_ring_test.cc
@@ -22,6 +22,17 @@
   EXPECT_EQ(ring_.Pop(), 2);
 }
 
+// Guards against a refused value that its caller can neither count nor look at.
+TEST_F(BoundedRingTest, TryPush_WhenFull_HandsTheValueToTheCallable) {
+  int refused = 0;
+  const auto keep = [&refused](int&& value) { refused = value; };
+  EXPECT_TRUE(ring_.TryPush(1, keep));
+  EXPECT_TRUE(ring_.TryPush(2, keep));
+  EXPECT_EQ(refused, 0);
+  EXPECT_FALSE(ring_.TryPush(3, keep));
+  EXPECT_EQ(refused, 3);
+}
+
 // Guards against values lost at shutdown: what was accepted before Close has to be handled.
 TEST_F(BoundedRingTest, Pop_AfterClose_DrainsThenReturnsNothing) {
   EXPECT_TRUE(ring_.TryPush(1));
--- a/tests/standin/instance_logs.h
+++ b/tests/standin/instance_logs.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include <log4cxx/level.h>
-
 #include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "standin/log_sink.h"
+#include "logging/log_route.h"
 #include "standin/sim_world.h"
 
 namespace clementineloom::standin {
@@ -30,12 +28,11 @@
   [[nodiscard]] std::vector<std::string> Files() const;
 
  private:
-  void Write(const std::string& level, const std::string& event) const;
+  void Write(const logging::LogLine& line) const;
 
   const SimWorld& world_;
   const std::filesystem::path folder_;
-  const log4cxx::LevelPtr former_level_;
-  std::shared_ptr<LogSink> sink_;
+  const std::shared_ptr<const logging::LogRoute> former_route_;
 };
 
 }  // namespace clementineloom::standin
