Split the caller front and the entry state into parts

Cause: caller_front.h (489 lines) and entry_state.h (470 lines) each held several concerns: admission, submissions, state queries, records in progress, log lines; operator items, jobs topic, claims, ownership.

Change: each concern is a file of its own, and the two classes connect them. No metric, event, setting, constant or order of steps changes. - entry/caller: Admission, JobQueries, JobChanges, JobRecorder, PeerFallback, CallerAnswers, CallerLog, JobsView, CallerHooks. - entry/election: OwnershipClaims, Ownership, OwnerOptionsOf. - entry/jobs: DecodeJobRecord, IsCallerRecord and IsOwnerRecord, InstanceAnnouncement. - entry/operator: OperatorDirectory; entry/store: the options of reads. Doc comments of public methods state preconditions. The requests of callers are passed by reference instead of being moved.

--- /dev/null
+++ b/src/entry/caller/caller_hooks.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "clementineloom/workload/steady_time.h"
+#include "net/http_response.h"
+#include "net/server_request.h"
+
+namespace clementineloom::entry {
+
+/// @brief What the caller front asks of, and tells to, its instance. All must be set.
+/// Thread safety: none; called on the thread of the port.
+struct CallerHooks {
+  std::function<void(net::ExchangeId, net::HttpResponse)> answer;
+  /// Runs after a job was accepted or cancelled by this instance.
+  std::function<void()> on_jobs_changed;
+  /// When the store last answered a read of the jobs; empty before all jobs are loaded.
+  std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
+  /// Whether the store is believed to be reachable.
+  std::function<bool()> has_store;
+  /// The instance that owns the workers; empty if it is this one or not known.
+  std::function<std::string()> owner;
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/decision_duty.h
+++ b/src/entry/decision_duty.h
@@ -65,7 +65,7 @@
     return events_.PopFor(next ? *next - now : std::chrono::nanoseconds(kMaxWait));
   }
 
-  void Handle(net::ServerRequest request) { state_.OnRequest(std::move(request)); }
+  void Handle(const net::ServerRequest& request) { state_.OnRequest(request); }
   void Handle(const net::ClientResult& result) { port_.Deliver(result); }
   void Handle(StopRequested) {
     is_stopping_ = true;
