--- a/src/entry/caller/caller_log.h
+++ b/src/entry/caller/caller_log.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "clementineloom/errors/refusal.h"
 #include "clementineloom/errors/run_state_name.h"
 #include "clementineloom/workload/job_entry.h"
 #include "entry/caller/caller_hooks.h"
--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include "clementineloom/errors/refusal.h"
 #include "clementineloom/workload/job_table.h"
 #include "codec/workload_record_codec.h"
 #include "entry/caller/admitted_call.h"
@@ -22,6 +23,7 @@
 #include "entry/metric_specs.h"
 #include "entry/port/call_port.h"
 #include "entry/store/appender.h"
+#include "logging/event_log.h"
 #include "metrics/metric_registry.h"
 #include "net/server_request.h"
 
