Show values in loomctl trace as the log writes them

The table quoted values with spaces or without text by rules of its own and escaped nothing, so that a value with a quote, "=" or a control byte read differently from the log, and a line break split the row. The new test failed before.

--- a/src/ctl/trace/trace_report.cc
+++ b/src/ctl/trace/trace_report.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "ctl/table.h"
+#include "logging/format_value.h"
 
 namespace clementineloom::ctl::trace {
 namespace {
@@ -15,8 +16,8 @@
 std::string FieldsText(const LogLine& line) {
   std::string text;
   for (const auto& [key, value] : line.fields) {
-    const bool needs_quotes = value.empty() || value.find(' ') != std::string::npos;
-    text += (text.empty() ? "" : " ") + key + "=" + (needs_quotes ? "\"" + value + "\"" : value);
+    text += (text.empty() ? "" : " ") + key + "=";
+    logging::AppendValue(text, value);
   }
   return text;
 }
--- a/tests/ctl/trace_verb_test.cc
+++ b/tests/ctl/trace_verb_test.cc
@@ -73,6 +73,17 @@
       << out_.str();
 }
 
+// Guards against a table that shows a value with quotes or control bytes otherwise than the log.
+TEST_F(TraceVerbTest, Trace_OfAValueWithQuotes_ShowsItAsTheLog) {
+  const std::string detail = R"(detail="a \"b\" = \\ \x0a" reason="")";
+  const std::string file = File("e0.log",
+                                "time=2026-12-05T13:00:00.100Z level=INFO event=request_refused "
+                                "path=/q/00000000000000a1 code=5001 " +
+                                    detail + "\n");
+  ASSERT_EQ(Run({kJob, "--logs", file}), ExitCode::kOk) << err_.str();
+  EXPECT_NE(out_.str().find(detail), std::string::npos) << out_.str();
+}
+
 // Guards against a refused request, whose line was left out under load, that is taken for one that
 // never arrived.
 TEST_F(TraceVerbTest, Trace_OfAJobWithoutLines_TellsTheRefusalsLeftOut) {
