Accept the same job ids in loomctl trace as in the instances

Instances accept hexadecimal digits of both cases in a job id, loomctl trace had a check of its own that refused upper case. Both now use codec::IsJobIdText. The new test failed before.

--- a/src/ctl/verbs/trace.cc
+++ b/src/ctl/verbs/trace.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "codec/job_id_text.h"
 #include "ctl/trace/decide.h"
 #include "ctl/trace/parse_instance_log.h"
 #include "ctl/trace/select_lines.h"
@@ -19,14 +20,6 @@
 
 using trace::InstanceLog;
 
-// Digits of an id: 64 bits.
-constexpr std::size_t kIdDigits = 16;
-
-bool IsJobId(const std::string& text) {
-  return text.size() == kIdDigits &&
-         text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
 // The files of --logs. Those after its first one are arguments to the parser.
 std::vector<std::string> LogFiles(const Invocation& invocation) {
   std::vector<std::string> files;
@@ -62,7 +55,7 @@
 
 Result<Report> Run(const Invocation& invocation) {
   const std::string& job = invocation.arguments.front();
-  if (!IsJobId(job)) {
+  if (!codec::IsJobIdText(job)) {
     return Refuse(ResultCode::kUsage, job + " is no job id of 16 hexadecimal digits");
   }
   const std::vector<std::string> files = LogFiles(invocation);
--- a/tests/ctl/trace_verb_test.cc
+++ b/tests/ctl/trace_verb_test.cc
@@ -84,6 +84,14 @@
   EXPECT_NE(out_.str().find(detail), std::string::npos) << out_.str();
 }
 
+// Guards against ids that instances accept and the tool does not.
+TEST_F(TraceVerbTest, Trace_OfAnIdInUpperCase_FindsItsLines) {
+  const std::string file = File("e0.log",
+                                "time=2026-12-05T13:00:01.100Z level=INFO event=job_ended "
+                                "job=00000000000000A1 state=2\n");
+  EXPECT_EQ(Run({"00000000000000A1", "--logs", file}), ExitCode::kOk) << err_.str();
+}
+
 // Guards against a refused request, whose line was left out under load, that is taken for one that
 // never arrived.
 TEST_F(TraceVerbTest, Trace_OfAJobWithoutLines_TellsTheRefusalsLeftOut) {
