Read the lines of a trace once for the job and once for outages

SelectLines asked NamesJob twice for each line and searched all lines again for each line that begins an outage. The answer is now kept with the line, and the last time at which each topic was regained is collected once.

--- a/src/ctl/trace/select_lines.cc
+++ b/src/ctl/trace/select_lines.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <iterator>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -29,44 +29,67 @@
     "config_in_force", "started",        "draining",
     "drain_cut_off",   "stopped",        "evacuation"};
 
-std::vector<LogLine> ByTime(const std::vector<InstanceLog>& logs) {
-  std::vector<LogLine> lines;
-  for (const InstanceLog& it : logs) {
-    lines.insert(lines.end(), it.lines.begin(), it.lines.end());
+// All lines, with whether they name the job.
+std::vector<TimelineLine> ByTime(std::string_view job, const std::vector<InstanceLog>& logs) {
+  std::vector<TimelineLine> lines;
+  for (const InstanceLog& log : logs) {
+    for (const LogLine& it : log.lines) {
+      lines.push_back({it, NamesJob(it, job)});
+    }
   }
-  std::ranges::stable_sort(lines, {}, &LogLine::time);
+  std::ranges::stable_sort(lines, {}, [](const TimelineLine& it) { return it.line.time; });
   return lines;
 }
 
+std::vector<LogLine> JobLines(std::span<const TimelineLine> lines) {
+  std::vector<LogLine> job_lines;
+  for (const TimelineLine& it : lines) {
+    if (it.names_job) {
+      job_lines.push_back(it.line);
+    }
+  }
+  return job_lines;
+}
+
 // Decides which lines that do not name the job belong to its timeline.
 class Context {
  public:
-  // Precondition: job_lines is not empty.
-  explicit Context(std::span<const LogLine> job_lines)
+  // Precondition: job_lines is not empty; all_lines are in the order of time.
+  Context(std::span<const LogLine> job_lines, std::span<const TimelineLine> all_lines)
       : from_(job_lines.front().time),
         until_(job_lines.back().time),
         stays_(WorkerStaysOf(job_lines)) {
     for (const LogLine& it : job_lines) {
       instances_.insert(it.instance);
     }
+    for (const TimelineLine& it : all_lines) {
+      if (it.line.event == "topic_regained" && it.line.time < from_) {
+        last_regained_[TopicOf(it.line)] = it.line.time;
+      }
+    }
   }
 
   [[nodiscard]] bool Includes(const LogLine& line) const {
-    return IsOfWorker(line) || (IsNear(line) && IsOfOwnershipOrInstance(line));
+    return IsOfWorker(line) || (IsNear(line) && IsOfOwnershipOrInstance(line)) ||
+           BeginsOpenOutage(line);
   }
 
-  // Whether the line begins an outage that may last until the job.
-  [[nodiscard]] bool BeginsOutage(const LogLine& line) const {
-    return line.event == "topic_lost" && line.time < from_ - kContextMargin &&
-           instances_.contains(line.instance);
+ private:
+  // An instance and a topic that it reads.
+  using Topic = std::pair<std::string, std::string>;
+
+  static Topic TopicOf(const LogLine& line) {
+    return {line.instance, std::string(line.Field("topic"))};
   }
-  // Whether the line ends the outage that an earlier line began, before the job.
-  [[nodiscard]] bool EndsOutage(const LogLine& line, const LogLine& begin) const {
-    return line.event == "topic_regained" && line.time < from_ && line.time >= begin.time &&
-           line.instance == begin.instance && line.Field("topic") == begin.Field("topic");
+  // Whether the line begins an outage that lasts until the job.
+  [[nodiscard]] bool BeginsOpenOutage(const LogLine& line) const {
+    if (line.event != "topic_lost" || line.time >= from_ - kContextMargin ||
+        !instances_.contains(line.instance)) {
+      return false;
+    }
+    const auto regained = last_regained_.find(TopicOf(line));
+    return regained == last_regained_.end() || regained->second < line.time;
   }
-
- private:
   [[nodiscard]] bool IsOfWorker(const LogLine& line) const {
     const std::string_view worker = line.Field("worker");
     // A line about a run of another job only shares the worker.
@@ -88,34 +111,22 @@
   microseconds until_;
   std::vector<WorkerStay> stays_;
   std::set<std::string> instances_;
+  // When an instance last regained a topic before the job.
+  std::map<Topic, microseconds> last_regained_;
 };
 
-// Whether an outage that a line begins lasts until the job.
-bool IsOpenOutage(std::span<const LogLine> lines, const LogLine& begin, const Context& context) {
-  return context.BeginsOutage(begin) && std::ranges::none_of(lines, [&](const LogLine& it) {
-           return context.EndsOutage(it, begin);
-         });
-}
-
 }  // namespace
 
 std::vector<TimelineLine> SelectLines(std::string_view job, const std::vector<InstanceLog>& logs) {
-  const std::vector<LogLine> lines = ByTime(logs);
-  std::vector<LogLine> job_lines;
-  std::ranges::copy_if(lines, std::back_inserter(job_lines),
-                       [&](const LogLine& it) { return NamesJob(it, job); });
-  std::vector<TimelineLine> selected;
+  std::vector<TimelineLine> lines = ByTime(job, logs);
+  const std::vector<LogLine> job_lines = JobLines(lines);
   if (job_lines.empty()) {
-    return selected;
-  }
-  const Context context(job_lines);
-  for (const LogLine& it : lines) {
-    const bool names_job = NamesJob(it, job);
-    if (names_job || context.Includes(it) || IsOpenOutage(lines, it, context)) {
-      selected.push_back({it, names_job});
-    }
+    return {};
   }
-  return selected;
+  const Context context(job_lines, lines);
+  std::erase_if(
+      lines, [&](const TimelineLine& it) { return !it.names_job && !context.Includes(it.line); });
+  return lines;
 }
 
 }  // namespace clementineloom::ctl::trace
