Read a clock that counts suspensions of the machine

What callers could see: an owner whose machine was suspended takes its view, its confirmation by the store and its workers' answers for as old as before the suspension, and orders starts although a successor owns the workers. A worker that has restarted since carries them out.

Cause: CallPort asks for a clock that advances during a suspension; HttpCallPort read std::chrono::steady_clock, CLOCK_MONOTONIC, which does not. Its clock is now CLOCK_BOOTTIME. Timers are compared with the same clock; a wait that was begun before a suspension ends with it at the latest by its own length later.

Result: the fault was found in reading.

--- a/src/entry/port/http_call_port.h
+++ b/src/entry/port/http_call_port.h
@@ -8,6 +8,7 @@
 
 #include "clementineloom/concurrency/bounded_ring.h"
 #include "entry/entry_event.h"
+#include "entry/port/boot_clock.h"
 #include "entry/port/call_port.h"
 #include "entry/port/timer_queue.h"
 #include "net/http_client.h"
@@ -26,7 +27,7 @@
             CallHandler handler);
   void After(workload::Milliseconds delay, std::function<void()> action);
 
-  [[nodiscard]] workload::SteadyTime Now() const { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] workload::SteadyTime Now() const { return BootClock::Now(); }
   [[nodiscard]] std::int64_t UnixNowMs() const;
 
   /// @brief Runs the handler of a call. Results of unknown calls are ignored.
