Check that late stops end no later run and that run numbers are not reused

A stop without an answer may be carried out up to 12 s later, after the task has started again. It would end that run if both had the same number. Numbers could come twice after a start was released unstarted, after a change of owner, or after a lost append; none of these does.

The oracle of the random sequences now checks that no number of a run is used on two workers.

--- a/tests/entry/ownership_oracle.h
+++ b/tests/entry/ownership_oracle.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -119,6 +122,7 @@
         const auto known = before.find(task);
         if (known == before.end() || known->second != count) {
           OnStart(worker, task, !request.headers.Find(standin::SimPort::kLateHeader).empty());
+          CheckRunNumber(worker, request.body);
         }
       }
     });
@@ -141,6 +145,18 @@
     CheckCapacity(worker);
   }
 
+  // Checks that the number of a run is used on one worker only: on another one, a stop of the run
+  // that arrives late would end a run of its own. @param body of the order to start
+  void CheckRunNumber(std::size_t worker, const std::string& body) {
+    const boost::json::object order = boost::json::parse(body).as_object();
+    const std::string run =
+        std::string(order.at("task").as_string()) + " run " + serialize(order.at("runId"));
+    const auto [known, is_new] = workers_of_runs_.emplace(run, worker);
+    if (!is_new && known->second != worker) {
+      Report("number used on two workers: " + run);
+    }
+  }
+
   void CheckCapacity(std::size_t worker) {
     std::int64_t used = 0;
     for (const auto& [task, run] : cluster_.workers[worker]->running()) {
@@ -197,6 +213,8 @@
   standin::StandInCluster& cluster_;
   std::map<std::string, OwnershipJob> jobs_;
   std::set<std::string> started_jobs_;
+  // Worker of each run that was started, by the names of the task and the run.
+  std::map<std::string, std::size_t> workers_of_runs_;
   // As the store holds them.
   std::set<std::string> done_tasks_;
   std::set<std::string> completed_jobs_;
