Ask a worker before its entry's start time ends its runs

An entry that named a later start time than its worker's ended the worker's runs at once: the tasks started elsewhere while the worker still had them, two runs at the same time.

A later start time in an entry now makes the owner ask the worker at once, beside the poll that may still wait for an answer of the earlier incarnation. The runs end when the worker confirms its restart. If it does not answer, no run is placed there until it does, and its runs end with the lease as before.

EntryStartTimeTest: the first test failed on the code before for start times later by 1, 3,000 and 60,000 ms. The other two guard against restarts that are noticed late, and passed before as well. All other entry tests pass.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -82,12 +82,11 @@
   }
 
   /// @brief Handles the incarnation that a worker's entry names. Entries of earlier incarnations
-  /// may be read late and are ignored.
+  /// may be read late and are ignored. A later one counts once the worker confirms it.
   void OnEntry(const std::string& id, std::int64_t started_at_ms) {
     const WorkerLink& link = core_.links[id];
     if (link.started_at_ms != 0 && started_at_ms > link.started_at_ms) {
-      BeginIncarnation(id, started_at_ms);
-      ends_.LoseRunsOfEarlierIncarnation(id, started_at_ms);
+      AskIncarnation(id);
     }
   }
 
@@ -150,6 +149,41 @@
     orders_.RefuseLateStarts(id);
   }
 
+  // Asks a worker when it started, beside the poll that may still wait for an answer of an earlier
+  // incarnation.
+  void AskIncarnation(const std::string& id) {
+    const workload::WorkerInfo& info = core_.workers[id].info;
+    if (info.address.empty()) {
+      return;
+    }
+    RenewOrder order;
+    order.fencing_token = core_.options.epoch;
+    core_.port.Call(
+        info.address, Platform::RenewRequest(order, info.id), kPollSlack,
+        core_.Guard([this, id](const net::ClientResult& result) { OnIncarnation(id, result); }));
+  }
+
+  void OnIncarnation(const std::string& id, const net::ClientResult& result) {
+    const auto worker = core_.workers.find(id);
+    if (worker == core_.workers.end()) {
+      return;
+    }
+    if (Platform::ParseOrder(result).status == OrderStatus::kFenced) {
+      core_.LoseOwnershipToHigherEpoch();
+      return;
+    }
+    const auto lists = Platform::ParseLists(result);
+    const std::int64_t started_at_ms = lists ? lists->started_at_ms.value_or(0) : 0;
+    if (started_at_ms > core_.links[id].started_at_ms) {
+      BeginIncarnation(id, started_at_ms);
+      ends_.LoseRunsOfEarlierIncarnation(id, started_at_ms);
+    } else if (!lists) {
+      // No run is placed there until a poll is answered.
+      worker->second.is_attached = false;
+    }
+    Poll(id);
+  }
+
   void OnLists(const std::string& id, workload::SteadyTime sent_at, std::uint64_t ack,
                const net::ClientResult& result) {
     WorkerLink& link = core_.links[id];
