Tell in loomctl trace how many lines the instances dropped

The former summary of dropped lines was no key=value line and counted as one unreadable line of the file. It is now read as log_lines_dropped, so that the report and the answer for an unknown job name the number of lines that are missing. The new test failed before.

--- a/src/ctl/trace/trace_report.cc
+++ b/src/ctl/trace/trace_report.cc
@@ -3,9 +3,11 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <utility>
 
 #include "ctl/table.h"
+#include "ctl/trace/dropped_lines.h"
 #include "logging/format_value.h"
 
 namespace clementineloom::ctl::trace {
@@ -52,8 +54,10 @@
     lines += it.lines.size();
     skipped += it.skipped;
   }
+  const std::uint64_t dropped = DroppedLines(logs);
   return std::to_string(lines) + " lines of " + std::to_string(logs.size()) + " files read, " +
-         std::to_string(skipped) + " skipped as cut off or unreadable";
+         std::to_string(skipped) + " skipped as cut off or unreadable" +
+         (dropped > 0 ? ", " + std::to_string(dropped) + " dropped by the instances" : "");
 }
 
 }  // namespace
--- a/src/ctl/verbs/trace.cc
+++ b/src/ctl/verbs/trace.cc
@@ -1,7 +1,5 @@
 #include "ctl/verbs/trace.h"
 
-#include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <fstream>
 #include <iterator>
@@ -11,6 +9,7 @@
 
 #include "codec/job_id_text.h"
 #include "ctl/trace/decide.h"
+#include "ctl/trace/dropped_lines.h"
 #include "ctl/trace/parse_instance_log.h"
 #include "ctl/trace/select_lines.h"
 #include "ctl/trace/trace_report.h"
@@ -39,18 +38,13 @@
   return trace::ParseInstanceLog(file, text);
 }
 
-// Refusals that the instances did not log, because they log a limited number per second.
-std::uint64_t LeftOutRefusals(const std::vector<InstanceLog>& logs) {
-  std::uint64_t count = 0;
-  for (const InstanceLog& log : logs) {
-    for (const trace::LogLine& it : log.lines) {
-      const std::string_view text = it.Field("left_out");
-      std::uint64_t left_out = 0;
-      std::from_chars(text.data(), text.data() + text.size(), left_out);
-      count += left_out;
-    }
+Result<Report> RefuseUnknownJob(const std::string& job, const std::vector<InstanceLog>& logs) {
+  std::string detail = "no line of the logs names job " + job + "; the instances left out " +
+                       std::to_string(trace::LeftOutLines(logs)) + " lines of refusals";
+  if (const std::uint64_t dropped = trace::DroppedLines(logs); dropped > 0) {
+    detail += " and dropped " + std::to_string(dropped) + " lines";
   }
-  return count;
+  return Refuse(ResultCode::kUnknownJob, detail);
 }
 
 Result<Report> Run(const Invocation& invocation) {
@@ -69,9 +63,7 @@
   }
   const auto timeline = trace::SelectLines(job, logs);
   if (timeline.empty()) {
-    return Refuse(ResultCode::kUnknownJob,
-                  "no line of the logs names job " + job + "; the instances left out " +
-                      std::to_string(LeftOutRefusals(logs)) + " lines of refusals");
+    return RefuseUnknownJob(job, logs);
   }
   return trace::TraceReport(job, logs, timeline, trace::Decide(timeline));
 }
--- a/tests/ctl/trace_verb_test.cc
+++ b/tests/ctl/trace_verb_test.cc
@@ -24,6 +24,11 @@
     "time=2026-12-05T13:00:00.500Z level=INFO event=request_refused path=/q/00000000000000b7 "
     "code=5001 left_out=34\n";
 
+constexpr const char* kDropped =
+    "time=2026-12-05T13:00:00.700Z level=INFO event=log_lines_dropped lines=17 warnings=0 errors=0 "
+    "detail=\"Discarded 17 lines because the buffer was full\" "
+    "most_severe=\"event=job_accepted job=00000000000000b7 answers=caller\"\n";
+
 class TraceVerbTest : public testing::Test {
  protected:
   TraceVerbTest() { std::filesystem::create_directory(folder_); }
@@ -100,6 +105,16 @@
   EXPECT_NE(err_.str().find("left out 34 lines"), std::string::npos) << err_.str();
 }
 
+// Guards against a gap in the logs of which the reader of a trace is not told.
+TEST_F(TraceVerbTest, Trace_OfLogsWithDroppedLines_TellsTheirNumber) {
+  const std::string file = File("e0.log", std::string(kAccepted) + kDropped + kDropped);
+  ASSERT_EQ(Run({kJob, "--logs", file}), ExitCode::kOk) << err_.str();
+  EXPECT_NE(out_.str().find(", 34 dropped by the instances"), std::string::npos) << out_.str();
+  EXPECT_EQ(Run({"00000000000000b7", "--logs", file}), ExitCode::kRefused);
+  EXPECT_NE(err_.str().find("lines of refusals and dropped 34 lines"), std::string::npos)
+      << err_.str();
+}
+
 // Guards against a missing log that is taken for an empty one.
 TEST_F(TraceVerbTest, Trace_OfAMissingFile_IsInvalidInput) {
   EXPECT_EQ(Run({kJob, "--logs", "/nonexistent.log"}), ExitCode::kInvalidInput);
