Log what a step waits for while no task of its job is at work

`loomctl trace` named the last lost run.

Change: a `step_waits` line once a job has had no run on a worker that answers for 3 s, for each step whose turn has come: the tasks that are not done, the first run that holds room for one of them and its worker, and the workers by what keeps the step from them. It is checked every 500 ms, written once for each wait, and limited to 20 lines a second. A `step_started` line tells when a later step begins. The trace gives the wait as the reason while the job is open.

The step whose turn had come was the first, not the second.

--- a/src/ctl/trace/decide.cc
+++ b/src/ctl/trace/decide.cc
@@ -71,7 +71,7 @@
 // Whether the line shows that the job is recorded.
 bool ShowsRecord(const TimelineLine& it) {
   return IsSuccess(it) || IsOwn(it, "job_accepted") || IsOwn(it, "request_already_recorded") ||
-         IsOwn(it, "job_started") || IsOwn(it, "job_ended") ||
+         IsOwn(it, "job_started") || IsOwn(it, "step_started") || IsOwn(it, "job_ended") ||
          (it.names_job && !it.line.Field("task").empty());
 }
 
@@ -95,6 +95,9 @@
         refusal && std::ranges::none_of(timeline_, ShowsRecord)) {
       return Make(TraceOutcome::kRefused, *refusal);
     }
+    if (const Index wait = OpenWait()) {
+      return Make(TraceOutcome::kOpen, *wait);
+    }
     if (const Index delay = Delay()) {
       return Make(TraceOutcome::kDelayed, *delay);
     }
@@ -162,6 +165,17 @@
     return reason ? reason : refusal;
   }
 
+  // The last wait of a step of a job that has not ended, unless a run began after it.
+  [[nodiscard]] Index OpenWait() const {
+    const Index wait = LastOwn("step_waits");
+    const bool is_over = LastOwn("job_ended") ||
+                         (wait && FindFirstAfter(timeline_, *wait, [](const TimelineLine& it) {
+                            return IsOwn(it, "job_started") || IsOwn(it, "step_started") ||
+                                   IsOwn(it, "task_run_again");
+                          }));
+    return is_over ? std::nullopt : wait;
+  }
+
   [[nodiscard]] Index Delay() const {
     const Index run = FindLastBefore(timeline_, end_, [](const TimelineLine& it) {
       return IsOwn(it, "run_ended") && !HasReason(it.line, EndReason::kDone);
@@ -172,9 +186,14 @@
     const Index wait = FindLastBefore(timeline_, end_, [](const TimelineLine& it) {
       return IsOwn(it, "job_started") && Number(it.line, "waited_ms") > kLongWaitMs;
     });
-    const Index guarantee = LastOwn("guaranteed_step_waits");
-    if (guarantee || wait) {
-      return guarantee ? guarantee : CauseOfWait(*wait);
+    if (const Index guarantee = LastOwn("guaranteed_step_waits")) {
+      return guarantee;
+    }
+    if (const Index step = LastOwn("step_waits")) {
+      return step;
+    }
+    if (wait) {
+      return CauseOfWait(*wait);
     }
     const bool has_ended = LastOwn("job_ended").has_value();
     const Index start = FindLastBefore(timeline_, end_, [](const TimelineLine& it) {
--- a/src/ctl/trace/line_cause.cc
+++ b/src/ctl/trace/line_cause.cc
@@ -127,6 +127,33 @@
          Get(line, "stoppable") + " stoppable";
 }
 
+// What keeps the tasks of a step from starting: a run that holds room, or the workers' conditions.
+std::string StepWaitText(const LogLine& line) {
+  constexpr std::array<std::pair<std::string_view, std::string_view>, 8> kWorkers{
+      {{"without_label", "without the label"},
+       {"leaving", "unlisted or draining"},
+       {"unattached", "not heard from"},
+       {"backing_off", "backing off"},
+       {"evacuated", "evacuated"},
+       {"full", "full"},
+       {"unapproved", "not approved"},
+       {"usable", "usable"}}};
+  std::string text = "no task of step " + Get(line, "step") + " was at work for " +
+                     Get(line, "waited_ms") + " ms: " + Get(line, "open") + " not done";
+  if (!line.Field("held_task").empty()) {
+    text += ", " + Get(line, "held") + " of them held, the first by run " + Get(line, "held_run") +
+            " of task " + Get(line, "held_task") + " (" + Get(line, "held_stage") + ") on worker " +
+            Get(line, "held_by");
+  }
+  text += "; workers:";
+  for (const auto& [key, condition] : kWorkers) {
+    if (line.Field(key) != "0") {
+      text += " " + Get(line, key) + " " + std::string(condition) + ",";
+    }
+  }
+  return text + " " + Get(line, "claims") + " tasks with room kept for them";
+}
+
 std::string StopText(const LogLine& line) {
   const std::string run = RunText(line);
   const std::string worker = Get(line, "worker");
@@ -167,6 +194,9 @@
   if (event == "guaranteed_step_waits") {
     return GuaranteeText(line);
   }
+  if (event == "step_waits") {
+    return StepWaitText(line);
+  }
   if (event == "start_refused" || event == "start_called_off") {
     return RunText(line) + " did not start on worker " + Get(line, "worker") + ": " +
            Get(line, "reason");
--- /dev/null
+++ b/src/entry/owner/step_wait_log.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "clementineloom/workload/step_waits.h"
+#include "codec/task_name.h"
+#include "logging/event_budget.h"
+#include "logging/event_log.h"
+
+namespace clementineloom::entry {
+
+/// @brief Logs what a step waits for, once for each step whose job has had no task at work for
+/// long. Thread safety: none; use from one thread.
+class StepWaitLog {
+ public:
+  /// @brief Whether the last check lies back far enough for another one.
+  [[nodiscard]] bool IsDue(workload::SteadyTime now) const {
+    return now - checked_at_ >= kCheckInterval;
+  }
+
+  /// @brief Looks for steps that wait.
+  /// @param silent_workers workers whose last call had no answer
+  void Check(const workload::PlanRequest& request, const std::set<std::string>& silent_workers) {
+    checked_at_ = request.now;
+    std::map<workload::StepId, Wait> waits;
+    for (const workload::StepId& it : workload::WaitingSteps(request, silent_workers)) {
+      const auto known = waits_.find(it);
+      Wait wait = known == waits_.end() ? Wait{request.now, false} : known->second;
+      const bool is_long = request.now - wait.since >= kLongWait;
+      if (is_long && !wait.is_logged && budget_.Allow(request.now)) {
+        Log(workload::DescribeStepWait(request, it),
+            std::chrono::duration_cast<workload::Milliseconds>(request.now - wait.since));
+        wait.is_logged = true;
+      }
+      waits.emplace(it, wait);
+    }
+    waits_ = std::move(waits);
+  }
+
+ private:
+  struct Wait {
+    workload::SteadyTime since;
+    bool is_logged = false;
+  };
+
+  static constexpr workload::Milliseconds kCheckInterval{500};
+  // Most steps find room, or their runs begin, well within this time.
+  static constexpr workload::Milliseconds kLongWait{3'000};
+  static constexpr std::uint32_t kLinesPerSecond = 20;
+
+  static std::string_view StageName(workload::RunStage stage) {
+    switch (stage) {
+      case workload::RunStage::kRecording:
+        return "recording";
+      case workload::RunStage::kStarting:
+        return "starting";
+      case workload::RunStage::kRunning:
+        return "running";
+      case workload::RunStage::kStopping:
+        return "stopping";
+    }
+    return {};
+  }
+
+  void Log(const workload::StepWait& wait, workload::Milliseconds waited) {
+    const auto& held = wait.held_run;
+    const workload::WorkerCounts& workers = wait.workers;
+    logging::LogEvent(logging::LogLevel::kWarning, "step_waits",
+                      {{"job", wait.step.job},
+                       {"occurrence", wait.step.occurrence},
+                       {"step", wait.step.step},
+                       {"waited_ms", waited.count()},
+                       {"open", wait.open_tasks},
+                       {"held", wait.held_tasks},
+                       {"held_task", held ? codec::TaskName(held->run.task) : ""},
+                       {"held_run", held ? held->run.run : 0},
+                       {"held_by", held ? held->worker : ""},
+                       {"held_stage", held ? StageName(held->stage) : ""},
+                       {"cpu", wait.needed.cpu_millicores},
+                       {"memory_mb", wait.needed.memory_mb},
+                       {"accelerators", wait.needed.accelerators},
+                       {"without_label", workers.without_label},
+                       {"leaving", workers.leaving},
+                       {"unattached", workers.unattached},
+                       {"backing_off", workers.backing_off},
+                       {"evacuated", workers.evacuated},
+                       {"full", workers.full},
+                       {"unapproved", workers.unapproved},
+                       {"usable", workers.usable},
+                       {"claims", wait.claims},
+                       {"left_out", budget_.TakeLeftOut()}});
+  }
+
+  // Steps that wait, since when, and whether they have been logged.
+  std::map<workload::StepId, Wait> waits_;
+  workload::SteadyTime checked_at_;
+  logging::EventBudget budget_{kLinesPerSecond};
+};
+
+}  // namespace clementineloom::entry
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -11,6 +11,7 @@
 #include "clementineloom/workload/task_planner.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/step_wait_log.h"
 #include "entry/owner/worker_orders.h"
 
 namespace clementineloom::entry {
@@ -69,6 +70,9 @@
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
     LogNewWaits(plan.waits);
+    if (step_waits_.IsDue(request.now)) {
+      step_waits_.Check(request, SilentWorkers());
+    }
     if (plan.question && !is_advice_requested_) {
       RequestAdvice(*plan.question);
     }
@@ -86,6 +90,17 @@
                   : std::span<const workload::TeamAccess>();
   }
 
+  // Workers whose last poll had no answer.
+  std::set<std::string> SilentWorkers() const {
+    std::set<std::string> silent;
+    for (const auto& [id, link] : core_.links) {
+      if (link.failures > 0) {
+        silent.insert(id);
+      }
+    }
+    return silent;
+  }
+
   // Logs each waiting step once, when it begins to wait.
   void LogNewWaits(const std::vector<workload::GuaranteeWait>& waits) {
     std::set<workload::StepId> waiting;
@@ -160,6 +175,13 @@
                          {"worker", start.worker},
                          {"waited_ms", waited.count()},
                          {"epoch", core_.options.epoch}});
+    } else if (task.index == 0) {
+      logging::LogEvent(logging::LogLevel::kInfo, "step_started",
+                        {{"job", task.step.job},
+                         {"occurrence", task.step.occurrence},
+                         {"step", task.step.step},
+                         {"worker", start.worker},
+                         {"epoch", core_.options.epoch}});
     }
   }
 
@@ -202,6 +224,7 @@
   std::vector<workload::RoomClaim> claims_;
   // Steps within their team's guarantee that the last plan left waiting.
   std::set<workload::StepId> waiting_;
+  StepWaitLog step_waits_;
   bool is_plan_due_ = false;
   // End and duration of the last plan.
   workload::SteadyTime last_plan_ended_at_;
--- a/tests/ctl/decide_test.cc
+++ b/tests/ctl/decide_test.cc
@@ -161,6 +161,36 @@
   EXPECT_EQ(verdict_.outcome, TraceOutcome::kOpen);
 }
 
+// Guards against a job that stands still for a reason that its logs name and the trace does not.
+TEST_F(DecideTest, Job_OfWhichAStepWaits_IsOpenForTheReasonOfTheWait) {
+  LogOwn("job_accepted", "answers=caller");
+  LogOwn("job_started", "worker=w1 waited_ms=10");
+  LogRun("run_ended", "run=1 worker=w1 reason=3");
+  LogOwn("step_waits",
+         std::string("step=1 waited_ms=3000 open=2 held=1 held_task=") + kJob +
+             ".0.1.0 held_run=4 held_by=w2 held_stage=stopping without_label=0 leaving=1 "
+             "unattached=0 backing_off=0 evacuated=0 full=3 unapproved=0 usable=0 claims=0");
+  Decide();
+  EXPECT_EQ(verdict_.outcome, TraceOutcome::kOpen);
+  EXPECT_EQ(DecidingLine().event, "step_waits");
+  EXPECT_EQ(verdict_.cause,
+            std::string("no task of step 1 was at work for 3000 ms: 2 not done, 1 of them held, ") +
+                "the first by run 4 of task " + kJob +
+                ".0.1.0 (stopping) on worker w2; workers: 1 unlisted or draining, 3 full, 0 tasks "
+                "with room kept for them");
+}
+
+// Guards against a wait that is given as the reason after the step has begun.
+TEST_F(DecideTest, Job_OfWhichAStepBeganAfterAWait_IsNotDecidedByTheWait) {
+  LogOwn("job_started", "worker=w1 waited_ms=10");
+  LogOwn("step_waits", "step=0 waited_ms=3000");
+  LogRun("run_ended", "run=1 worker=w1 reason=3");
+  LogRun("task_run_again", "run=2 worker=w2");
+  Decide();
+  EXPECT_EQ(verdict_.outcome, TraceOutcome::kDelayed);
+  EXPECT_EQ(DecidingLine().event, "run_ended");
+}
+
 // Guards against a caller without a key who cannot be told why the job does not exist.
 TEST_F(DecideTest, Request_WithoutKey_IsRefused) {
   Log("e1", std::string("request_unauthorized path=/q/") + kJob + " config_version=4");
