Record when the leases of silent workers end, for the next owner

Cause: a task of the first step waited for the lease of a worker that was gone, 10.7 s anew after each change of owner: a successor assumed that its predecessor had extended the lease until it was replaced, and longer. And a successor that started after the worker's entry had expired had no address at which to learn that another worker had taken its place.

Ruled out: room counted as taken by runs that are over, and the planner (19 workers are usable, and the second step's turn has not come).

Change: every 500 ms the owner records for each silent worker with runs the time until all its leases have ended, and its address. It does not extend such a lease before the withdrawal of the record is stored, so that a successor that reads the record may rely on it whatever its predecessor does without the store. Nothing is recorded while the store has not confirmed the owner for 1 s. A successor counts the lease from the record, records it again, and calls the worker at the recorded address.

The oracle of the property test takes note of no more than before.

Without the check before leases are extended (MayExtendLease always true), Task_OfAWorkerThatOnlyAnOwnerWithoutTheStoreReaches_DoesNotRunTwice fails.

--- a/include/clementineloom/workload/job_table.h
+++ b/include/clementineloom/workload/job_table.h
@@ -17,7 +17,7 @@
 /// Thread safety: none; use from one thread.
 class JobTable {
  public:
-  /// @brief Applies a record; those of owners and instances change nothing here.
+  /// @brief Applies a record; those of owners, instances and leases change nothing here.
   void Apply(const WorkloadRecord& record);
 
   /// @brief Notes whether the store holds the final state of a job; nothing for an open job. A
@@ -45,6 +45,7 @@
   void Set(const JobEndSet& record);
   void Set(const OwnerSet&) {}
   void Set(const InstanceSet&) {}
+  void Set(const LeaseEndSet&) {}
   void DropIfEmpty(const std::string& job);
 
   std::map<std::string, JobEntry, std::less<>> jobs_;
--- a/include/clementineloom/workload/workload_record.h
+++ b/include/clementineloom/workload/workload_record.h
@@ -7,6 +7,7 @@
 #include "clementineloom/workload/instance_record.h"
 #include "clementineloom/workload/job_state.h"
 #include "clementineloom/workload/job_submission.h"
+#include "clementineloom/workload/lease_end.h"
 #include "clementineloom/workload/owner_record.h"
 #include "clementineloom/workload/task_id.h"
 #include "clementineloom/workload/task_record.h"
@@ -53,9 +54,16 @@
   friend auto operator<=>(const InstanceSet&, const InstanceSet&) = default;
 };
 
+/// @brief The lease of a worker is not extended any more, or, without an end, may be again.
+struct LeaseEndSet {
+  std::string worker;
+  std::optional<LeaseEnd> end;
+  friend auto operator<=>(const LeaseEndSet&, const LeaseEndSet&) = default;
+};
+
 /// @brief A record of the stream of jobs: each sets one item to a value, so that applying a record
 /// again, or only the newest of an item, gives the same state.
-using WorkloadRecord =
-    std::variant<SubmissionSet, CancellationSet, TaskSet, JobEndSet, OwnerSet, InstanceSet>;
+using WorkloadRecord = std::variant<SubmissionSet, CancellationSet, TaskSet, JobEndSet, OwnerSet,
+                                    InstanceSet, LeaseEndSet>;
 
 }  // namespace clementineloom::workload
--- a/src/codec/workload_record_codec.cc
+++ b/src/codec/workload_record_codec.cc
@@ -20,6 +20,7 @@
 using workload::JobEndSet;
 using workload::JobState;
 using workload::KeyedValue;
+using workload::LeaseEndSet;
 using workload::OwnerPhase;
 using workload::OwnerSet;
 using workload::SubmissionSet;
@@ -33,6 +34,10 @@
 constexpr char kTask = 't';
 constexpr char kEnd = 'e';
 constexpr char kInstance = 'i';
+constexpr char kLeaseEnd = 'l';
+// No worker grants a lease of an hour; a longer time is refused, because adding it to a time could
+// overflow.
+constexpr std::int64_t kMaxRemainingMs = 3'600'000;
 // No deployment reaches these numbers. Greater ones are refused, because incrementing them could
 // overflow.
 constexpr std::uint64_t kMaxEpoch = std::uint64_t{1} << 62;
@@ -73,6 +78,22 @@
           json::serialize(json::array{it.instance.address, it.instance.cpu_millicores})};
 }
 
+KeyedValue Encode(const LeaseEndSet& it) {
+  return {Key(kLeaseEnd, it.worker),
+          it.end ? json::serialize(json::array{it.end->remaining.count(), it.end->address})
+                 : std::string()};
+}
+
+Result<workload::LeaseEnd> ReadLeaseEnd(const json::value& value) {
+  const json::array& row = value.as_array();
+  const auto remaining_ms = row.at(0).to_number<std::int64_t>();
+  if (remaining_ms < 0 || remaining_ms > kMaxRemainingMs) {
+    return Refuse(ResultCode::kCorruptRecord, "end of a lease");
+  }
+  return workload::LeaseEnd{workload::Milliseconds(remaining_ms),
+                            std::string(row.at(1).as_string())};
+}
+
 Result<workload::TaskRecord> ReadTask(const json::value& value) {
   constexpr std::size_t kMembers = 5;
   const json::array* row = value.if_array();
@@ -163,6 +184,13 @@
       return WorkloadRecord(InstanceSet{{std::move(name), std::string(row.at(0).as_string()),
                                          row.at(1).to_number<std::int64_t>()}});
     }
+    case kLeaseEnd: {
+      LeaseEndSet record{std::move(name), std::nullopt};
+      if (value != nullptr) {
+        BOOST_LEAF_ASSIGN(record.end, ReadLeaseEnd(*value));
+      }
+      return WorkloadRecord(std::move(record));
+    }
     default:
       return Refuse(ResultCode::kCorruptRecord, "unknown kind of record");
   }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -181,6 +181,7 @@
     // The table of an owner is ahead of the store and must not be reset to it.
     if (owner_ == nullptr) {
       jobs_.Clear();
+      lease_ends_.Clear();
     }
     OnJobItems(items);
     if (!std::exchange(is_announced_, true)) {
@@ -252,6 +253,10 @@
     // An owner that has dropped a job from its table may load its submission again, and must then
     // know that the job has ended.
     const auto* end = std::get_if<workload::JobEndSet>(&*record);
+    const auto* lease_end = std::get_if<workload::LeaseEndSet>(&*record);
+    if (lease_end != nullptr && owner_ == nullptr) {
+      lease_ends_.Apply(*lease_end, port_.Now());
+    }
     const bool is_end_of_unknown = end != nullptr && jobs_.Find(end->job) == nullptr;
     if (owner_ == nullptr || is_caller_record || is_end_of_unknown) {
       jobs_.Apply(*record);
@@ -396,6 +401,7 @@
     options.retention = std::chrono::seconds{settings_.state_retention_s};
     options.advice_address = settings_.advice;
     options.handed_over_at = election_.handed_over_at();
+    options.lease_ends = lease_ends_;
     owner_ = std::make_unique<Owner<Platform, Port>>(
         port_, jobs_, operators_, metrics_,
         std::make_unique<Appender<Platform, Port>>(port_, jobs_topic_, appends), options,
@@ -445,6 +451,8 @@
   workload::OwnerElection election_;
   const StoreEndpoint jobs_topic_;
   workload::JobTable jobs_;
+  // Those that the store held when this instance became the owner, if it is.
+  workload::LeaseEnds lease_ends_;
   OperatorView operators_;
   TopicFollower<Platform, Port> operator_follower_;
   TopicFollower<Platform, Port> jobs_follower_;
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -17,6 +17,7 @@
 #include "clementineloom/workload/owner_hand_over.h"
 #include "entry/owner/drain_moves.h"
 #include "entry/owner/fill_pacing.h"
+#include "entry/owner/lease_withholding.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_hooks.h"
 #include "entry/owner/run_ends.h"
@@ -47,7 +48,8 @@
         orders_(core_),
         ends_(core_, orders_),
         pacing_(core_),
-        poller_(core_, orders_, ends_, pacing_),
+        withholding_(core_),
+        poller_(core_, orders_, ends_, pacing_, withholding_),
         placement_(core_, orders_),
         drain_moves_(core_, orders_),
         on_hand_over_(std::move(hooks.on_hand_over)),
@@ -60,6 +62,8 @@
   /// @brief Adopts the recorded runs. Call once, before the first OnWorker.
   void Start() {
     AdoptRuns();
+    withholding_.RecordInherited();
+    PollAdopted();
     Tick();
     SendHeartbeat();
   }
@@ -144,11 +148,27 @@
     if (worker.info.id.empty()) {
       worker.info.id = record.worker;
       worker.is_listed = false;
+      const workload::ExpiringLease* lease = core_.options.lease_ends.Find(record.worker);
+      worker.info.address = lease == nullptr ? std::string() : lease->address;
     }
     core_.links.try_emplace(record.worker);
     worker.Add(std::move(run));
   }
 
+  // Polls the workers of adopted runs at the addresses that an earlier owner has recorded: their
+  // entries may have expired, and another worker that answers shows that they are gone.
+  void PollAdopted() {
+    std::vector<std::string> known;
+    for (const auto& [id, worker] : core_.workers) {
+      if (!worker.info.address.empty()) {
+        known.push_back(id);
+      }
+    }
+    for (const std::string& it : known) {
+      poller_.Poll(it);
+    }
+  }
+
   void Tick() {
     const auto now = core_.port.Now();
     if (!CheckContact(now)) {
@@ -157,6 +177,7 @@
     CheckSilence(now);
     core_.advice.Expire(now);
     ExpireLeases(now);
+    withholding_.Check(now, [this](const std::string& id) { return LeaseEndOf(id); });
     RemoveUnlistedWorkers();
     drain_moves_.Check(kTickInterval);
     RemoveExpiredJobs(now);
@@ -286,15 +307,24 @@
     }
   }
 
-  void ExpireLeases(workload::SteadyTime now) {
+  // When all leases of a worker have expired. A worker to which this owner has granted none may
+  // hold one of an earlier owner.
+  workload::SteadyTime LeaseEndOf(const std::string& id) {
+    if (const auto ended_at = core_.links[id].lease.LeasesExpiredAt()) {
+      return *ended_at;
+    }
     const auto adopted_leases_end =
         workload::OwnerContact::EarlierOwnersEndedAt(took_over_at_, majority_answered_at_) +
         core_.options.lease + kAdoptedLeaseMargin;
+    const workload::ExpiringLease* recorded = core_.options.lease_ends.Find(id);
+    return recorded == nullptr ? adopted_leases_end
+                               : std::min(adopted_leases_end, recorded->ended_at);
+  }
+
+  void ExpireLeases(workload::SteadyTime now) {
     std::vector<std::string> expired;
     for (const auto& [id, worker] : core_.workers) {
-      const auto ended_at = core_.links[id].lease.LeasesExpiredAt();
-      const bool is_over = ended_at ? now > *ended_at : now > adopted_leases_end;
-      if (is_over && !worker.runs.empty()) {
+      if (!worker.runs.empty() && now > LeaseEndOf(id)) {
         expired.push_back(id);
       }
     }
@@ -352,6 +382,7 @@
   WorkerOrders<Platform, Port> orders_;
   RunEnds<Platform, Port> ends_;
   FillPacing<Platform, Port> pacing_;
+  LeaseWithholding<Platform, Port> withholding_;
   WorkerPoller<Platform, Port> poller_;
   TaskPlacement<Platform, Port> placement_;
   DrainMoves<Platform, Port> drain_moves_;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -48,6 +48,7 @@
         operators(view),
         metrics(registry),
         options(std::move(owner_options)),
+        lease_ends(options.lease_ends),
         confirmed_at(call_port.Now()),
         appender_(std::move(appender)),
         on_lost_(std::move(on_lost)) {}
@@ -173,6 +174,11 @@
   /// @brief Ends the ownership because a worker has accepted a newer owner.
   void LoseOwnershipToHigherEpoch() { LoseOwnership("a worker has seen a higher epoch"); }
 
+  /// @brief Whether the lease of a worker may be extended: no record says that it is not.
+  [[nodiscard]] bool MayExtendLease(const std::string& worker) const {
+    return !lease_ends.Contains(worker);
+  }
+
   /// @brief Places no new runs on a worker for the given time.
   void BackOff(const std::string& worker, workload::Milliseconds time) {
     workload::PoolWorker& it = workers[worker];
@@ -188,6 +194,8 @@
   std::map<std::string, WorkerLink> links;
   workload::WorkerSilence silence;
   workload::AdviceCache advice;
+  /// Workers whose leases may not be extended, because their end is recorded.
+  workload::LeaseEnds lease_ends;
   /// Latest time at which the epoch is known to have been the newest at the store.
   workload::SteadyTime confirmed_at;
   /// Polls a worker for its lists, and schedules a plan. Set by the owner before anything runs.
--- a/src/entry/owner/owner_options.h
+++ b/src/entry/owner/owner_options.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "clementineloom/workload/lease_ends.h"
 #include "clementineloom/workload/steady_time.h"
 
 namespace clementineloom::entry {
@@ -27,6 +28,8 @@
   std::string advice_address;
   /// When this instance last handed over because it reached no worker; absent if it has not.
   std::optional<workload::SteadyTime> handed_over_at;
+  /// Ends of leases that earlier owners have recorded.
+  workload::LeaseEnds lease_ends;
 
   friend auto operator<=>(const OwnerOptions&, const OwnerOptions&) = default;
 };
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -28,7 +28,7 @@
   /// @brief Orders a start, unless its worker has been withdrawn or evacuated since the start was
   /// planned. Precondition: the start is recorded, and its run holds capacity on the worker.
   void OrderStart(const workload::PlannedStart& start) {
-    if (!core_.HasCurrentView()) {
+    if (MustHoldBack(start.worker)) {
       RetryStart(start);
       return;
     }
@@ -260,6 +260,12 @@
     }
   }
 
+  // Whether no start may be ordered on a worker for the time being: a view that is not current may
+  // lack an evacuation, and an order extends the lease.
+  [[nodiscard]] bool MustHoldBack(const std::string& worker) const {
+    return !core_.HasCurrentView() || !core_.MayExtendLease(worker);
+  }
+
   void RetryStart(const workload::PlannedStart& start) {
     core_.port.After(kOrderRetryDelay, core_.Guard([this, start] {
       const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
@@ -267,11 +273,10 @@
         return;
       }
       // An order extends the lease, which must not happen for a worker that does not answer.
-      if (core_.links[start.worker].failures > 0 || !core_.HasCurrentView()) {
+      if (core_.links[start.worker].failures > 0 || MustHoldBack(start.worker)) {
         RetryStart(start);
       } else {
-        LogStart("start_repeated", start,
-                 run->may_start_late ? "no answer" : "the view of the operator items was stale");
+        LogStart("start_repeated", start, run->may_start_late ? "no answer" : "held back");
         OrderStart(start);
       }
     }));
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -12,6 +12,7 @@
 #include "clementineloom/workload/run_stall.h"
 #include "codec/task_name.h"
 #include "entry/owner/fill_pacing.h"
+#include "entry/owner/lease_withholding.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
@@ -31,8 +32,9 @@
 class WorkerPoller {
  public:
   WorkerPoller(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
-               RunEnds<Platform, Port>& ends, FillPacing<Platform, Port>& pacing)
-      : core_(core), orders_(orders), ends_(ends), pacing_(pacing) {}
+               RunEnds<Platform, Port>& ends, FillPacing<Platform, Port>& pacing,
+               LeaseWithholding<Platform, Port>& withholding)
+      : core_(core), orders_(orders), ends_(ends), pacing_(pacing), withholding_(withholding) {}
 
   /// @brief Polls a worker unless a call is in flight or there is nothing to ask.
   void Poll(const std::string& id) {
@@ -66,7 +68,7 @@
     }
     // The lease of a worker that does not answer polls or orders is not extended, so that its runs
     // end in bounded time.
-    if (link.failures == 0 && !link.order_silence.IsLasting()) {
+    if (link.failures == 0 && !link.order_silence.IsLasting() && core_.MayExtendLease(id)) {
       order.lease_until_ms = link.lease.Grant(core_.options.lease, core_.port.Now());
     }
     if (order.lease_until_ms && !is_idle && !link.HasUnrecordedEnds()) {
@@ -174,6 +176,7 @@
       return;
     }
     link.failures = 0;
+    withholding_.Withdraw(id);
     const std::int64_t incarnation = lists->started_at_ms.value_or(worker.info.started_at_ms);
     const bool is_other_incarnation =
         link.started_at_ms != 0 && incarnation != 0 && incarnation != link.started_at_ms;
@@ -273,7 +276,7 @@
   void ScheduleNextPoll(const std::string& id) {
     WorkerLink& link = core_.links[id];
     // A call that does not renew the lease is answered immediately.
-    if (!link.HasUnrecordedEnds() && !link.order_silence.IsLasting()) {
+    if (!link.HasUnrecordedEnds() && !link.order_silence.IsLasting() && core_.MayExtendLease(id)) {
       Poll(id);
     } else if (!std::exchange(link.is_renewal_due, true)) {
       core_.port.After(kRenewalPause, core_.Guard([this, id] { RetryPoll(id); }));
@@ -387,6 +390,7 @@
   WorkerOrders<Platform, Port>& orders_;
   RunEnds<Platform, Port>& ends_;
   FillPacing<Platform, Port>& pacing_;
+  LeaseWithholding<Platform, Port>& withholding_;
 };
 
 }  // namespace clementineloom::entry
--- a/tests/codec/workload_record_codec_test.cc
+++ b/tests/codec/workload_record_codec_test.cc
@@ -69,7 +69,9 @@
       workload::JobEndSet{job.id, workload::JobState::kFailed},
       workload::JobEndSet{job.id, std::nullopt},
       workload::OwnerSet{{5, "e", workload::OwnerPhase::kResigned}},
-      workload::InstanceSet{{"e", "10.0.0.1:80", 250}}};
+      workload::InstanceSet{{"e", "10.0.0.1:80", 250}},
+      workload::LeaseEndSet{"w", workload::LeaseEnd{workload::Milliseconds(4'200), "10.0.0.2:80"}},
+      workload::LeaseEndSet{"w", std::nullopt}};
   for (const WorkloadRecord& it : records) {
     EXPECT_EQ(Decode(EncodeWorkloadRecord(it)), it) << it.index();
   }
@@ -84,6 +86,10 @@
   EXPECT_EQ(CodeOf({"t/job.0.0.1", "[1,\"1\",\"w\",0,\"\"]"}), ResultCode::kCorruptRecord);
   EXPECT_EQ(CodeOf({"owner", "{}"}), ResultCode::kCorruptRecord);
   EXPECT_EQ(CodeOf({"e/job", "7"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"l/worker", R"([-1,"10.0.0.2:80"])"}), ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"l/worker", R"([9223372036854775807,"10.0.0.2:80"])"}),
+            ResultCode::kCorruptRecord);
+  EXPECT_EQ(CodeOf({"l/worker", "[1]"}), ResultCode::kCorruptRecord);
   EXPECT_NE(CodeOf({"s/job", "{\"queue\":{}}"}), ResultCode::kOk);
   EXPECT_NE(CodeOf({"s/job", R"({"queue":{"priority":"x"},"steps":[]})"}), ResultCode::kOk);
   EXPECT_NE(CodeOf({"s/job", R"({"queue":{},"steps":[{"after":["x"],"tasks":1}]})"}),
--- a/tests/entry/ownership_oracle.h
+++ b/tests/entry/ownership_oracle.h
@@ -193,6 +193,7 @@
   }
   void Note(const workload::CancellationSet& /*it*/) {}
   void Note(const workload::InstanceSet& /*it*/) {}
+  void Note(const workload::LeaseEndSet& /*it*/) {}
 
   standin::StandInCluster& cluster_;
   std::map<std::string, OwnershipJob> jobs_;
