--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -119,6 +119,7 @@
     // The table of an owner is ahead of the store and must not be reset to it.
     if (!is_owner()) {
       jobs_.Clear();
+      lease_ends_.Clear();
     }
     OnJobItems(items);
     announcement_.Begin();
@@ -182,6 +183,10 @@
 
   void ApplyJobRecord(const workload::WorkloadRecord& record, std::uint64_t offset) {
     claims_.OnOtherRecord(record, offset);
+    const auto* lease_end = std::get_if<workload::LeaseEndSet>(&record);
+    if (lease_end != nullptr && !is_owner()) {
+      lease_ends_.Apply(*lease_end, port_.Now());
+    }
     // An owner that has dropped a job from its table may load its submission again, and must then
     // know that the job has ended.
     const auto* end = std::get_if<workload::JobEndSet>(&record);
@@ -235,8 +240,11 @@
     logging::LogEvent(logging::LogLevel::kInfo, "ownership_taken",
                       {{"epoch", claims_.epoch()}, {"next_offset", jobs_follower_.next_offset()}});
     jobs_follower_.set_options(PromptReadOptions());
+    OwnerOptions options =
+        OwnerOptionsOf(settings_, claims_.epoch(), claims_.election().handed_over_at());
+    options.lease_ends = lease_ends_;
     ownership_.Take(
-        OwnerOptionsOf(settings_, claims_.epoch(), claims_.election().handed_over_at()),
+        options,
         {[this] { OnOwnershipLost(); }, [this] { claims_.election().OnHandOver(port_.Now()); },
          [this] { return peers_.size() > 0; }});
   }
@@ -255,6 +263,8 @@
   metrics::MetricRegistry& metrics_;
   const StoreEndpoint jobs_topic_;
   workload::JobTable jobs_;
+  // Those that the store held when this instance became the owner, if it is.
+  workload::LeaseEnds lease_ends_;
   OperatorView operators_;
   OwnershipClaims<Platform, Port> claims_;
   OperatorDirectory<Platform, Port> operator_directory_;
