Hold a run whose order may still arrive although its worker does not list it

Cause: a start order without an answer may be carried out seconds later, also by the next incarnation of its worker, which knows neither the fencing token nor the stop of the run. The owner counted a run as over once the worker did not list it, or once the lease had ended, and started its task elsewhere; a worker that had restarted behind a cut then carried out the late copy, and the task ran twice at the same time.

Before, late_start_test.cc on: FirstCopy_CarriedOutBehindACut_TaskRunsNowhereElseMeanwhile: tasks_on_two_workers.empty() is false FirstCopy_OfACalledOffStartBehindACut_TaskRunsNowhereElseMeanwhile: tasks_on_two_workers.empty() is false FirstCopy_AfterARestartOnceTheTaskIsDone_StartsNothing: starts 2, expected 1 Worker_RestartedBeforeTheFirstCopy_TaskRunsNoMoreOnceItIsDone: started after it was done After: the first two pass.

StartCopies counts the copies of an order that were sent and those that are accounted for by an answer or by a list. If polls are answered without a break since the last copy was sent, that copy is late, not lost with the connection. Its run is then held for 12.3 s from sending, and for the longest lease more on a silent worker. A stop that an incarnation begun since has confirmed ends the wait, and so does the answer of a worker of another id (421), which no old order names. Runs that are over are refused at a restart for 12.3 s after an order without an answer instead of for the longest lease. Service tasks and steps that allow duplicates do not wait.

Ruled out: - Not repeating an order whose copy may arrive. GangStartTest.Gang_WithAMemberLostOrLateOnce_IsCompletedByTheRepetition demands the repetition on a worker that answers polls (alone for at most 1,700 ms, two starts in all), and StartRecheckTest.LostStart_OnAWorkerThatTakesRuns_IsRepeated a start within 3 s after a cut. - Holding orders lost in a cut for as long: StartRecheckTest demands completion within 7 s of the order.

OwnershipPropertyTest delays orders by up to 12 s instead of 6 s. 10,000 sequences, on arm64: before, with 6 s, the 4,440th fails ("runs on two workers": an answered order arrives again after a restart), not the 1,778th; before, with 12 s, the 1,506th ("started after its end was stored"); after, with 12 s, the 4,440th, in 44 s.

entry_tests: 188 pass, the 2 above fail. docs_tests and workload_tests pass.

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -8,6 +8,7 @@
 
 #include "clementineloom/workload/resources.h"
 #include "clementineloom/workload/run_stage.h"
+#include "clementineloom/workload/start_copies.h"
 #include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/step_spec.h"
 #include "clementineloom/workload/task_run.h"
@@ -24,8 +25,8 @@
   SteadyTime confirmed_at;
   /// Started by an earlier owner, whose late orders the worker refuses once this owner has called.
   bool is_adopted = false;
-  /// An order to start had no answer and may still be carried out.
-  bool may_start_late = false;
+  /// The orders to start the run that this owner has sent.
+  StartCopies start_copies;
   /// Incarnation of the worker, by its start time, whose lists last held the run; 0 before the
   /// first.
   std::int64_t listed_in_incarnation = 0;
--- a/include/clementineloom/workload/worker_lease.h
+++ b/include/clementineloom/workload/worker_lease.h
@@ -11,6 +11,10 @@
 /// Thread safety: none; use from one thread.
 class WorkerLease {
  public:
+  /// @brief The longest time for which a run may last without renewal.
+  /// @param max_lease longest lease that the worker grants
+  [[nodiscard]] static Milliseconds LongestDuration(Milliseconds max_lease);
+
   /// @brief Notes a reading of the worker's clock. @param received_at when the answer arrived
   void OnClock(std::int64_t clock_ms, SteadyTime received_at);
 
@@ -26,6 +30,10 @@
   /// @param max_lease longest lease that the worker grants
   void BeginIncarnation(Milliseconds max_lease, SteadyTime now);
 
+  /// @brief Notes that a run has begun under a lease that was computed for the clock of an earlier
+  /// incarnation. @param max_lease longest lease that the worker grants
+  void NoteStartOfEarlierClock(Milliseconds max_lease, SteadyTime now);
+
   /// @brief Notes that a start had no answer: an incarnation that is not known yet may have
   /// accepted it, with the same bound on its lease as after BeginIncarnation.
   /// @param max_lease longest lease that the worker grants
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -17,6 +17,7 @@
 #include "clementineloom/workload/owner_hand_over.h"
 #include "entry/owner/drain_moves.h"
 #include "entry/owner/fill_pacing.h"
+#include "entry/owner/late_starts.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_hooks.h"
 #include "entry/owner/run_ends.h"
@@ -45,9 +46,10 @@
       : core_(port, jobs, operators, metrics, std::move(appender), std::move(options),
               std::move(hooks.on_lost)),
         orders_(core_),
-        ends_(core_, orders_),
+        late_starts_(core_),
+        ends_(core_, orders_, late_starts_),
         pacing_(core_),
-        poller_(core_, orders_, ends_, pacing_),
+        poller_(core_, orders_, ends_, late_starts_, pacing_),
         placement_(core_, orders_),
         drain_moves_(core_, orders_),
         on_hand_over_(std::move(hooks.on_hand_over)),
@@ -299,7 +301,7 @@
       }
     }
     for (const std::string& it : expired) {
-      ends_.LoseRuns(it, "the lease has ended");
+      ends_.LoseRunsAfterLease(it);
     }
   }
 
@@ -350,6 +352,7 @@
 
   OwnerCore<Platform, Port> core_;
   WorkerOrders<Platform, Port> orders_;
+  LateStarts<Platform, Port> late_starts_;
   RunEnds<Platform, Port> ends_;
   FillPacing<Platform, Port> pacing_;
   WorkerPoller<Platform, Port> poller_;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -132,8 +132,12 @@
   /// evacuated, as far as this owner knows now.
   [[nodiscard]] bool MayStartOn(const std::string& worker) const {
     const auto it = workers.find(worker);
-    return it != workers.end() && it->second.IsInService() &&
-           !operators.evacuated().contains(it->second.info.data_centre);
+    return it != workers.end() && it->second.IsInService() && !IsEvacuated(it->second);
+  }
+
+  /// @brief Whether a worker's data centre is evacuated.
+  [[nodiscard]] bool IsEvacuated(const workload::PoolWorker& worker) const {
+    return operators.evacuated().contains(worker.info.data_centre);
   }
 
   /// @brief The step of a run that is running for an open job, so that it may be stopped early;
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -8,6 +8,7 @@
 
 #include "clementineloom/workload/run_outcome.h"
 #include "codec/task_name.h"
+#include "entry/owner/late_starts.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/worker_orders.h"
@@ -21,8 +22,9 @@
  public:
   using Records = typename OwnerCore<Platform, Port>::Records;
 
-  RunEnds(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
-      : core_(core), orders_(orders) {}
+  RunEnds(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
+          LateStarts<Platform, Port>& late_starts)
+      : core_(core), orders_(orders), late_starts_(late_starts) {}
 
   /// @brief Processes one end. Its records are applied and added to records; the caller appends
   /// them.
@@ -56,19 +58,26 @@
     }
   }
 
-  /// @brief Ends all runs of a worker that has surely lost them, such as after its lease, and
-  /// records the ends.
+  /// @brief Ends all runs of a worker that is surely gone, and records the ends.
   void LoseRuns(const std::string& id, std::string_view reason) {
     LoseRunsWhere(id, reason, [](const workload::PlacedRun&) { return true; });
   }
 
+  /// @brief Ends the runs of a worker whose lease is over, and records the ends. Runs that a late
+  /// order may still start remain.
+  void LoseRunsAfterLease(const std::string& id) {
+    LoseRunsWhere(id, "the lease has ended", [this, &id](const workload::PlacedRun& it) {
+      return !late_starts_.IsHeldAfterLease(id, it);
+    });
+  }
+
   /// @brief Ends the runs of an earlier incarnation of a worker and records the ends. Runs that the
   /// current incarnation has listed, and starts that may still reach it, are left to its lists.
   /// @param started_at_ms start time of the current incarnation
   void LoseRunsOfEarlierIncarnation(const std::string& id, std::int64_t started_at_ms) {
     LoseRunsWhere(id, "the worker has restarted", [&](const workload::PlacedRun& it) {
       return it.listed_in_incarnation != 0 && it.listed_in_incarnation != started_at_ms &&
-             !it.may_start_late;
+             !it.start_copies.MayArrive();
     });
   }
 
@@ -131,6 +140,7 @@
 
   OwnerCore<Platform, Port>& core_;
   WorkerOrders<Platform, Port>& orders_;
+  LateStarts<Platform, Port>& late_starts_;
   // For each worker, the job of the last run that failed there: consecutive failures of one job
   // count once.
   std::map<std::string, std::string> last_failed_job_;
--- a/src/entry/owner/worker_link.h
+++ b/src/entry/owner/worker_link.h
@@ -34,8 +34,9 @@
   OrderSilence order_silence;
   /// Runs of which an order to start had no answer, by the time at which the last one timed out.
   std::map<workload::TaskRun, workload::SteadyTime> unanswered_starts;
-  /// Consecutive polls without an answer.
+  /// Consecutive polls without an answer, and when the last one failed.
   std::uint32_t failures = 0;
+  workload::SteadyTime last_failure_at;
   /// Start time of the incarnation of the worker that the lists belong to; 0 while not known.
   std::int64_t started_at_ms = 0;
   /// Restarts of the worker that this owner has noticed, and when it noticed the last one.
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -32,6 +32,11 @@
       RetryStart(start);
       return;
     }
+    if (IsAwaitingRestartedWorker(start)) {
+      core_.poll_worker(start.worker);
+      RetryStart(start);
+      return;
+    }
     if (!core_.MayStartOn(start.worker) || core_.links[start.worker].order_silence.IsLasting()) {
       CancelStart(start, "the worker takes no new runs");
       return;
@@ -43,6 +48,7 @@
       return;
     }
     const workload::JobEntry* job = core_.jobs.Find(start.run.run.task.step.job);
+    core_.FindRun(start.worker, start.run.run)->start_copies.OnSent(core_.port.Now());
     StartOrder order{start.run.run,        job == nullptr ? "" : job->submission->payload,
                      *lease_until,         core_.options.epoch,
                      start.run.checkpoint, start.ticket};
@@ -138,10 +144,18 @@
     SendStop(worker, run);
   }
 
-  // No order is expected to arrive after the longest lease that it could ask for.
+  // Whether a start that was sent can be repeated once its worker, which has restarted, has shown
+  // its lists.
+  bool IsAwaitingRestartedWorker(const workload::PlannedStart& start) const {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    const workload::PoolWorker& worker = core_.workers[start.worker];
+    return run != nullptr && run->start_copies.MayArrive() && !worker.is_attached &&
+           worker.is_listed && !worker.info.is_draining && !core_.IsEvacuated(worker);
+  }
+
   void DropOldUnansweredStarts(const std::string& worker) {
     std::erase_if(core_.links[worker].unanswered_starts, [this](const auto& it) {
-      return core_.port.Now() - it.second > core_.options.max_lease;
+      return core_.port.Now() - it.second > workload::StartCopies::kMaxDelay;
     });
   }
 
@@ -151,7 +165,7 @@
     core_.workers[start.worker].is_attached = false;
     core_.poll_worker(start.worker);
     const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
-    if (run != nullptr && run->may_start_late) {
+    if (run != nullptr && run->start_copies.MayArrive()) {
       RetryStart(start);
     } else {
       ReleaseUnstartedRun(start.worker, start.run.run, "the worker's clock is not known");
@@ -202,10 +216,22 @@
     }
   }
 
+  static void NoteOutcome(workload::StartCopies& copies, OrderStatus status) {
+    if (status == OrderStatus::kDone || status == OrderStatus::kSuperseded) {
+      copies.OnCarriedOut();
+    } else if (status != OrderStatus::kUnknown) {
+      copies.OnNotCarriedOut();
+    }
+  }
+
   void OnStartAnswer(const workload::PlannedStart& start, const OrderAnswer& answer) {
     NoteAnswer(start.worker, answer.status);
     workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
-    if (run == nullptr || run->stage != workload::RunStage::kStarting) {
+    if (run == nullptr) {
+      return;
+    }
+    NoteOutcome(run->start_copies, answer.status);
+    if (run->stage != workload::RunStage::kStarting) {
       return;
     }
     switch (answer.status) {
@@ -216,7 +242,6 @@
         run->confirmed_at = core_.port.Now();
         break;
       case OrderStatus::kUnknown:
-        run->may_start_late = true;
         DropOldUnansweredStarts(start.worker);
         core_.links[start.worker].unanswered_starts[start.run.run] = core_.port.Now();
         core_.links[start.worker].lease.NoteUnansweredStart(core_.options.max_lease,
@@ -226,7 +251,7 @@
         break;
       case OrderStatus::kUnreachable:
         core_.BackOff(start.worker, OwnerTiming::kFailureBackoff);
-        if (run->may_start_late) {
+        if (run->start_copies.MayArrive()) {
           RepeatUnanswered(start);
         } else {
           ReleaseUnstartedRun(start.worker, start.run.run, "unreachable");
@@ -251,7 +276,7 @@
   // Gives up a start, which may already have been sent.
   void CancelStart(const workload::PlannedStart& start, std::string_view reason) {
     const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
-    if (run != nullptr && run->may_start_late) {
+    if (run != nullptr && run->start_copies.MayArrive()) {
       LogStart("start_called_off", start, reason);
       // An earlier order may still arrive; the stop makes the worker refuse it.
       OrderStop(start.worker, start.run.run);
@@ -271,7 +296,8 @@
         RetryStart(start);
       } else {
         LogStart("start_repeated", start,
-                 run->may_start_late ? "no answer" : "the view of the operator items was stale");
+                 run->start_copies.MayArrive() ? "no answer"
+                                               : "the view of the operator items was stale");
         OrderStart(start);
       }
     }));
@@ -323,6 +349,9 @@
         answer.status == OrderStatus::kDone || answer.status == OrderStatus::kSuperseded;
     if (placed != nullptr && is_confirmed) {
       placed->confirmed_at = core_.port.Now();
+      if (placed->start_copies.WereSentBefore(core_.links[worker].incarnation_began_at)) {
+        placed->start_copies.OnRefusedAfterRestart();
+      }
       core_.poll_worker(worker);
     } else if (!is_confirmed) {
       RetryStop(worker, run);
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -12,6 +12,7 @@
 #include "clementineloom/workload/run_stall.h"
 #include "codec/task_name.h"
 #include "entry/owner/fill_pacing.h"
+#include "entry/owner/late_starts.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
@@ -31,8 +32,9 @@
 class WorkerPoller {
  public:
   WorkerPoller(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
-               RunEnds<Platform, Port>& ends, FillPacing<Platform, Port>& pacing)
-      : core_(core), orders_(orders), ends_(ends), pacing_(pacing) {}
+               RunEnds<Platform, Port>& ends, LateStarts<Platform, Port>& late_starts,
+               FillPacing<Platform, Port>& pacing)
+      : core_(core), orders_(orders), ends_(ends), late_starts_(late_starts), pacing_(pacing) {}
 
   /// @brief Polls a worker unless a call is in flight or there is nothing to ask.
   void Poll(const std::string& id) {
@@ -206,6 +208,7 @@
 
   void OnPollFailed(const std::string& id) {
     WorkerLink& link = core_.links[id];
+    link.last_failure_at = core_.port.Now();
     if (link.failures++ == 0) {
       logging::LogEvent(logging::LogLevel::kWarning, "worker_silent",
                         {{"worker", id}, {"runs", core_.workers[id].runs.size()}});
@@ -223,6 +226,7 @@
   }
 
   void ApplyLists(const std::string& id, const WorkerLists& lists, workload::SteadyTime sent_at) {
+    late_starts_.OnPollAnswered(id);
     Records records;
     std::set<workload::TaskRun> listed;
     for (const RunningItem& it : lists.running) {
@@ -313,7 +317,13 @@
       orders_.StopUnrecorded(id, item.run);
       return;
     }
-    run->listed_in_incarnation = core_.links[id].started_at_ms;
+    WorkerLink& link = core_.links[id];
+    const bool is_new = run->listed_in_incarnation != link.started_at_ms;
+    if (is_new && run->start_copies.WereSentBefore(link.incarnation_began_at)) {
+      link.lease.NoteStartOfEarlierClock(core_.options.max_lease, core_.port.Now());
+    }
+    run->listed_in_incarnation = link.started_at_ms;
+    run->start_copies.OnListed();
     if (!item.checkpoint.empty()) {
       run->checkpoint = item.checkpoint;
     }
@@ -375,9 +385,9 @@
     }
     const workload::SteadyTime incarnation_began_at = core_.links[id].incarnation_began_at;
     for (const workload::PlacedRun& it : missing) {
-      if (it.may_start_late && it.confirmed_at < incarnation_began_at) {
+      if (it.start_copies.MayArrive() && it.confirmed_at < incarnation_began_at) {
         orders_.RefuseAfterRestart(id, it.run);
-      } else {
+      } else if (!late_starts_.IsHeld(it, sent_at)) {
         ends_.ApplyEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
       }
     }
@@ -386,6 +396,7 @@
   OwnerCore<Platform, Port>& core_;
   WorkerOrders<Platform, Port>& orders_;
   RunEnds<Platform, Port>& ends_;
+  LateStarts<Platform, Port>& late_starts_;
   FillPacing<Platform, Port>& pacing_;
 };
 
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -16,7 +16,9 @@
   room.has_service_tasks = worker.HasServiceTasks();
   room.has_fill_tasks = worker.HasFillTasks();
   for (const auto& [run, placed] : worker.runs) {
-    if (placed.stage == RunStage::kStopping || EndsSoon(placed, now)) {
+    const bool is_being_stopped =
+        placed.stage == RunStage::kStopping && !placed.start_copies.IsLate(now);
+    if (is_being_stopped || EndsSoon(placed, now)) {
       room.free_later = room.free_later + placed.reserved;
     }
   }
--- a/src/workload/worker_lease.cc
+++ b/src/workload/worker_lease.cc
@@ -5,6 +5,10 @@
 
 namespace clementineloom::workload {
 
+Milliseconds WorkerLease::LongestDuration(Milliseconds max_lease) {
+  return MaxElapsed(max_lease) + kKillMargin;
+}
+
 void WorkerLease::OnClock(std::int64_t clock_ms, SteadyTime received_at) {
   clock_ms_ = clock_ms;
   read_at_ = received_at;
@@ -16,12 +20,16 @@
 
 void WorkerLease::BeginIncarnation(Milliseconds max_lease, SteadyTime now) {
   clock_ms_.reset();
-  Extend(now + MaxElapsed(max_lease) + kKillMargin);
+  Extend(now + LongestDuration(max_lease));
+}
+
+void WorkerLease::NoteStartOfEarlierClock(Milliseconds max_lease, SteadyTime now) {
+  Extend(now + LongestDuration(max_lease));
 }
 
 void WorkerLease::NoteUnansweredStart(Milliseconds max_lease, SteadyTime now) {
   unanswered_start_at_ = now;
-  unanswered_lease_end_ = now + MaxElapsed(max_lease) + kKillMargin;
+  unanswered_lease_end_ = now + LongestDuration(max_lease);
 }
 
 void WorkerLease::ConfirmIncarnation(SteadyTime sent_at) {
--- a/tests/entry/ownership_driver.h
+++ b/tests/entry/ownership_driver.h
@@ -363,7 +363,7 @@
   // order.
   void FaultNextCall(const OwnershipCommand& it) {
     constexpr Milliseconds kMinLate{2'000};
-    constexpr Milliseconds kMaxLate{6'000};
+    constexpr Milliseconds kMaxLate{12'000};
     constexpr Milliseconds kMaxRepeat{6'000};
     constexpr Milliseconds kMaxCrossed{650};
     constexpr std::array<const char*, 4> kTargets{"/run-start", "/run-start", "/run-stop", "/hold"};
