--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -243,10 +243,9 @@
     OwnerOptions options =
         OwnerOptionsOf(settings_, claims_.epoch(), claims_.election().handed_over_at());
     options.lease_ends = lease_ends_;
-    ownership_.Take(
-        options,
-        {[this] { OnOwnershipLost(); }, [this] { claims_.election().OnHandOver(port_.Now()); },
-         [this] { return peers_.size() > 0; }});
+    ownership_.Take(options, {[this] { OnOwnershipLost(); },
+                              [this] { claims_.election().OnHandOver(port_.Now()); },
+                              [this] { return peers_.size() > 0; }});
   }
 
   void OnOwnershipLost() {
