--- a/src/entry/election/ownership.h
+++ b/src/entry/election/ownership.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/recent_starts.h"
 #include "clementineloom/workload/worker_info.h"
 #include "entry/election/owner_producer.h"
 #include "entry/metric_specs.h"
@@ -29,11 +30,14 @@
   /// Precondition: the references outlive the ownership, and the ownership outlives the port's
   /// timers.
   /// @param jobs_topic to which the owner appends
+  /// @param recent_starts read by this instance while another one owned the workers
   Ownership(Port& port, StoreEndpoint jobs_topic, workload::JobTable& jobs,
-            const OperatorView& operators, metrics::MetricRegistry& metrics)
+            const workload::RecentStarts& recent_starts, const OperatorView& operators,
+            metrics::MetricRegistry& metrics)
       : port_(port),
         jobs_topic_(std::move(jobs_topic)),
         jobs_(jobs),
+        recent_starts_(recent_starts),
         operators_(operators),
         metrics_(metrics) {}
 
@@ -45,7 +49,7 @@
   void Take(const OwnerOptions& options, OwnerHooks hooks) {
     metrics_.Count(kTakeovers.name);
     owner_ = std::make_unique<Owner<Platform, Port>>(
-        port_, jobs_, operators_, metrics_,
+        port_, jobs_, recent_starts_, operators_, metrics_,
         std::make_unique<Appender<Platform, Port>>(port_, jobs_topic_,
                                                    AppendOptions(options.epoch)),
         options, std::move(hooks));
@@ -102,6 +106,7 @@
   Port& port_;
   const StoreEndpoint jobs_topic_;
   workload::JobTable& jobs_;
+  const workload::RecentStarts& recent_starts_;
   const OperatorView& operators_;
   metrics::MetricRegistry& metrics_;
   std::unique_ptr<Owner<Platform, Port>> owner_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/recent_starts.h"
 #include "entry/caller/caller_front.h"
 #include "entry/caller/peer_router.h"
 #include "entry/election/owner_options_of.h"
@@ -59,7 +60,7 @@
         appender_(port, jobs_topic_, CallerAppendOptions(seed)),
         announcement_(port, appender_, {settings_.instance, settings_.listen, Millicores()}),
         peers_(port, settings_.instance),
-        ownership_(port, jobs_topic_, jobs_, operators_, metrics),
+        ownership_(port, jobs_topic_, jobs_, recent_starts_, operators_, metrics),
         front_(port, jobs_, operators_, appender_, peers_, metrics,
                {hooks_.answer, [this] { ownership_.OnJobsChanged(); },
                 [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; },
@@ -121,24 +122,25 @@
       jobs_.Clear();
       lease_ends_.Clear();
     }
-    OnJobItems(items);
+    OnJobItems(items, false);
     announcement_.Begin();
     logging::LogEvent(logging::LogLevel::kInfo, "jobs_loaded",
                       {{"records", items.size()}, {"jobs", jobs_.jobs().size()}});
   }
 
   void OnJobBatch(const std::vector<TopicItem>& items) {
-    OnJobItems(items);
+    OnJobItems(items, true);
     if (!is_owner() && !is_stopping_ && claims_.IsWon(jobs_follower_.next_offset())) {
       BecomeOwner();
     }
   }
 
-  void OnJobItems(const std::vector<TopicItem>& items) {
+  // @param is_new whether the records were read as they were stored, not loaded
+  void OnJobItems(const std::vector<TopicItem>& items, bool is_new) {
     claims_.election().OnRead(port_.Now());
     bool has_job_changes = false;
     for (const TopicItem& it : items) {
-      has_job_changes = ApplyRecord(it) || has_job_changes;
+      has_job_changes = ApplyRecord(it, is_new) || has_job_changes;
     }
     UpdateReady();
     if (has_job_changes) {
@@ -147,7 +149,7 @@
   }
 
   // Returns whether the record is one that callers cause.
-  bool ApplyRecord(const TopicItem& item) {
+  bool ApplyRecord(const TopicItem& item, bool is_new) {
     const auto record = DecodeJobRecord(item.item);
     if (!record) {
       return false;
@@ -159,6 +161,9 @@
     } else {
       ApplyJobRecord(*record, item.offset);
     }
+    if (const auto* task = std::get_if<workload::TaskSet>(&*record); task != nullptr && is_new) {
+      recent_starts_.OnRecord(*task, port_.Now());
+    }
     return IsCallerRecord(*record);
   }
 
@@ -264,6 +269,7 @@
   workload::JobTable jobs_;
   // Those that the store held when this instance became the owner, if it is.
   workload::LeaseEnds lease_ends_;
+  workload::RecentStarts recent_starts_;
   OperatorView operators_;
   OwnershipClaims<Platform, Port> claims_;
   OperatorDirectory<Platform, Port> operator_directory_;
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -365,6 +365,10 @@
     }
     run->listed_in_incarnation = link.started_at_ms;
     run->start_copies.OnListed();
+    if (run->is_adopted) {
+      // The order of the earlier owner has arrived.
+      run->former_order_until.reset();
+    }
     if (!item.checkpoint.empty()) {
       run->checkpoint = item.checkpoint;
     }
@@ -426,7 +430,9 @@
     }
     const workload::SteadyTime incarnation_began_at = core_.links[id].incarnation_began_at;
     for (const workload::PlacedRun& it : missing) {
-      if (it.start_copies.MayArrive() && it.confirmed_at < incarnation_began_at) {
+      if (orders_.IsKeptForFormerOrder(id, it, sent_at)) {
+        orders_.OrderAgain(id, it.run);
+      } else if (it.start_copies.MayArrive() && it.confirmed_at < incarnation_began_at) {
         orders_.RefuseAfterRestart(id, it.run);
       } else if (!late_starts_.IsHeld(it, sent_at)) {
         ends_.ApplyEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
