--- a/src/ctl/trace/trace_report.cc
+++ b/src/ctl/trace/trace_report.cc
@@ -3,9 +3,12 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <utility>
 
 #include "ctl/table.h"
+#include "ctl/trace/dropped_lines.h"
+#include "logging/format_value.h"
 
 namespace clementineloom::ctl::trace {
 namespace {
@@ -15,8 +18,8 @@
 std::string FieldsText(const LogLine& line) {
   std::string text;
   for (const auto& [key, value] : line.fields) {
-    const bool needs_quotes = value.empty() || value.find(' ') != std::string::npos;
-    text += (text.empty() ? "" : " ") + key + "=" + (needs_quotes ? "\"" + value + "\"" : value);
+    text += (text.empty() ? "" : " ") + key + "=";
+    logging::AppendValue(text, value);
   }
   return text;
 }
@@ -51,8 +54,10 @@
     lines += it.lines.size();
     skipped += it.skipped;
   }
+  const std::uint64_t dropped = DroppedLines(logs);
   return std::to_string(lines) + " lines of " + std::to_string(logs.size()) + " files read, " +
-         std::to_string(skipped) + " skipped as cut off or unreadable";
+         std::to_string(skipped) + " skipped as cut off or unreadable" +
+         (dropped > 0 ? ", " + std::to_string(dropped) + " dropped by the instances" : "");
 }
 
 }  // namespace
--- a/src/ctl/verbs/trace.cc
+++ b/src/ctl/verbs/trace.cc
@@ -1,7 +1,5 @@
 #include "ctl/verbs/trace.h"
 
-#include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <fstream>
 #include <iterator>
@@ -9,7 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "codec/job_id_text.h"
 #include "ctl/trace/decide.h"
+#include "ctl/trace/dropped_lines.h"
 #include "ctl/trace/parse_instance_log.h"
 #include "ctl/trace/select_lines.h"
 #include "ctl/trace/trace_report.h"
@@ -19,14 +19,6 @@
 
 using trace::InstanceLog;
 
-// Digits of an id: 64 bits.
-constexpr std::size_t kIdDigits = 16;
-
-bool IsJobId(const std::string& text) {
-  return text.size() == kIdDigits &&
-         text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
 // The files of --logs. Those after its first one are arguments to the parser.
 std::vector<std::string> LogFiles(const Invocation& invocation) {
   std::vector<std::string> files;
@@ -46,23 +38,18 @@
   return trace::ParseInstanceLog(file, text);
 }
 
-// Refusals that the instances did not log, because they log a limited number per second.
-std::uint64_t LeftOutRefusals(const std::vector<InstanceLog>& logs) {
-  std::uint64_t count = 0;
-  for (const InstanceLog& log : logs) {
-    for (const trace::LogLine& it : log.lines) {
-      const std::string_view text = it.Field("left_out");
-      std::uint64_t left_out = 0;
-      std::from_chars(text.data(), text.data() + text.size(), left_out);
-      count += left_out;
-    }
+Result<Report> RefuseUnknownJob(const std::string& job, const std::vector<InstanceLog>& logs) {
+  std::string detail = "no line of the logs names job " + job + "; the instances left out " +
+                       std::to_string(trace::LeftOutLines(logs)) + " lines of refusals";
+  if (const std::uint64_t dropped = trace::DroppedLines(logs); dropped > 0) {
+    detail += " and dropped " + std::to_string(dropped) + " lines";
   }
-  return count;
+  return Refuse(ResultCode::kUnknownJob, detail);
 }
 
 Result<Report> Run(const Invocation& invocation) {
   const std::string& job = invocation.arguments.front();
-  if (!IsJobId(job)) {
+  if (!codec::IsJobIdText(job)) {
     return Refuse(ResultCode::kUsage, job + " is no job id of 16 hexadecimal digits");
   }
   const std::vector<std::string> files = LogFiles(invocation);
@@ -76,9 +63,7 @@
   }
   const auto timeline = trace::SelectLines(job, logs);
   if (timeline.empty()) {
-    return Refuse(ResultCode::kUnknownJob,
-                  "no line of the logs names job " + job + "; the instances left out " +
-                      std::to_string(LeftOutRefusals(logs)) + " lines of refusals");
+    return RefuseUnknownJob(job, logs);
   }
   return trace::TraceReport(job, logs, timeline, trace::Decide(timeline));
 }
