Order a refused start of a former owner once for each incarnation

What callers could see: a task without a run for up to 26 s after a change of owner. The former owner had called its start off, so that the worker refuses the run. The successor ordered it there again with every poll, and each order prolonged the time for which the run is held.

An incarnation that was asked and does not list the run is not asked again; the run is held until no copy can arrive. Found in a review by reading; CalledOffFormerOrderTest failed before (3 orders within 10 s, 5 in all, and no run at 20.6 s) and passes now.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -431,7 +431,10 @@
     const workload::SteadyTime incarnation_began_at = core_.links[id].incarnation_began_at;
     for (const workload::PlacedRun& it : missing) {
       if (orders_.IsKeptForFormerOrder(id, it, sent_at)) {
-        orders_.OrderAgain(id, it.run);
+        // An incarnation that refuses the run is not asked twice.
+        if (it.is_adopted || it.confirmed_at < incarnation_began_at) {
+          orders_.OrderAgain(id, it.run);
+        }
       } else if (it.start_copies.MayArrive() && it.confirmed_at < incarnation_began_at) {
         orders_.RefuseAfterRestart(id, it.run);
       } else if (!late_starts_.IsHeld(it, sent_at)) {
--- a/tests/entry/former_owner_order_test.cc
+++ b/tests/entry/former_owner_order_test.cc
@@ -3,8 +3,10 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <utility>
 
 #include "entry/cluster_test.h"
+#include "net/http_request.h"
 #include "standin/standin_cluster.h"
 
 namespace clementineloom::entry {
@@ -71,6 +73,31 @@
   const workload::SteadyTime ordered_at_ = cluster_.world.now() + Milliseconds(1'000);
 };
 
+// The former owner has called its order off, and the worker refuses it since.
+class CalledOffFormerOrderTest : public FormerOwnerOrderTest {
+ protected:
+  void CallOffAndKill() {
+    OrderLateStart();
+    cluster_.Register(worker_, "draining", kLongRunTime.count());
+    RunUntil(Milliseconds(2'500));
+    ASSERT_EQ(cluster_.StartsOf(kTask), 0);
+    cluster_.Kill(owner_);
+    cluster_.Register(worker_);
+  }
+  // Counts the successor's orders to start.
+  void CountOrders() {
+    const standin::SimWorld::Server served = *cluster_.world.Find(worker_.address());
+    cluster_.world.Serve(worker_.address(), [this, served](const net::HttpRequest& request,
+                                                           standin::SimWorld::Reply reply) {
+      const bool is_late = !request.headers.Find(standin::SimPort::kLateHeader).empty();
+      orders_ += request.target.starts_with("/run-start") && !is_late ? 1 : 0;
+      served(request, std::move(reply));
+    });
+  }
+
+  int orders_ = 0;
+};
+
 class FormerOwnerShortOrderTest : public FormerOwnerOrderTest {
  protected:
   FormerOwnerShortOrderTest() : FormerOwnerOrderTest(kShortRunTime) {}
@@ -148,6 +175,19 @@
   ExpectOneRun();
 }
 
+// Guards against an order that its worker refuses and that the successor repeats with each answer
+// to a poll, each time for a longer wait of its task.
+TEST_F(CalledOffFormerOrderTest, Successor_WhoseOrderIsRefused_OrdersOnceAndStartsTheTaskInTime) {
+  // An order may arrive for 13 s, and two polls of 1.3 s may pass before a list shows it did not.
+  constexpr Milliseconds kLongestWait{15'600};
+  CallOffAndKill();
+  CountOrders();
+  RunUntil(Milliseconds(10'000));
+  EXPECT_EQ(orders_, 1);
+  RunUntil(Milliseconds(2'500) + kTakeover + kLongestWait);
+  EXPECT_EQ(cluster_.WorkersRunning(kTask).size(), 1U);
+}
+
 // Guards against a start after the end of the task was stored.
 TEST_F(FormerOwnerShortOrderTest, Worker_RestartedAfterTheEnd_TaskDoesNotRunAgain) {
   OrderLateStart();
