Order no start of a former owner again on a worker without room for it

What callers could see: a worker over its capacity (LIMIT).

Cause: a start that its worker has refused leaves its record until the task is placed again. The former owner gave the room to other runs; the successor adopted the record and ordered the start beside them.

A start is now kept for its worker only while all runs recorded there are within the worker's capacity and the step's limit for a worker.

RefusedFormerOrderTest failed before (1 start of the refused task, 0 expected) and passes now.

--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -63,6 +63,8 @@
   ///
   /// Service tasks, gangs and steps that allow duplicates are kept only if the start may be
   /// ordered now: the former two must not wait, the latter may run twice.
+  /// None is kept where the recorded runs exceed the limits of the worker: the earlier owner knew
+  /// that one of them had not started, and gave its room to another.
   /// @param sent_at when the call was sent whose answer does not list the run
   [[nodiscard]] bool IsKeptForFormerOrder(const std::string& worker, const workload::PlacedRun& run,
                                           workload::SteadyTime sent_at) const {
@@ -72,6 +74,9 @@
       return false;
     }
     const workload::StepSpec* spec = core_.jobs.FindStep(run.run.task.step);
+    if (!IsWithinLimits(core_.workers.at(worker), run.run.task.step, *spec)) {
+      return false;
+    }
     const bool may_wait = !spec->runs_until_cancelled && !spec->is_gang && !spec->allows_duplicates;
     return may_wait || core_.MayStartOn(worker);
   }
@@ -177,6 +182,12 @@
  private:
   static constexpr workload::Milliseconds kOrderRetryDelay{300};
 
+  static bool IsWithinLimits(const workload::PoolWorker& worker, const workload::StepId& step,
+                             const workload::StepSpec& spec) {
+    const bool is_spread = spec.max_per_worker == 0 || worker.CountOf(step) <= spec.max_per_worker;
+    return is_spread && worker.used.FitsIn(worker.info.capacity);
+  }
+
   // Orders a stop, which counts as confirmed once the worker has answered it. Precondition: the run
   // holds capacity on the worker.
   void BeginStop(const std::string& worker, const workload::TaskRun& run) {
--- a/tests/entry/former_owner_order_test.cc
+++ b/tests/entry/former_owner_order_test.cc
@@ -98,6 +98,30 @@
   int orders_ = 0;
 };
 
+// The worker has refused a start of the former owner, which has placed other work there since.
+class RefusedFormerOrderTest : public FormerOwnerOrderTest {
+ protected:
+  static constexpr const char* kBulkJob = "00000000000000b1";
+  static constexpr const char* kBulkTask = "00000000000000b1.0.0.0";
+  static constexpr const char* kWholeWorker = R"([{"count":1,"cpu":1000,"memMb":10,"gpus":8}])";
+
+  void RefuseNextStart() {
+    const standin::SimWorld::Server served = *cluster_.world.Find(worker_.address());
+    cluster_.world.Serve(
+        worker_.address(), [served, is_refused = false](const net::HttpRequest& request,
+                                                        standin::SimWorld::Reply reply) mutable {
+          if (request.target.starts_with("/run-start") && !std::exchange(is_refused, true)) {
+            reply({kUnavailable, {}, {}});
+          } else {
+            served(request, std::move(reply));
+          }
+        });
+  }
+
+ private:
+  static constexpr int kUnavailable = 503;
+};
+
 class FormerOwnerShortOrderTest : public FormerOwnerOrderTest {
  protected:
   FormerOwnerShortOrderTest() : FormerOwnerOrderTest(kShortRunTime) {}
@@ -188,6 +212,21 @@
   EXPECT_EQ(cluster_.WorkersRunning(kTask).size(), 1U);
 }
 
+// Guards against a worker over its capacity: the record of the refused start was still the newest
+// of its task, and the successor ordered it beside the work that had taken its room.
+TEST_F(RefusedFormerOrderTest, Successor_WhereOtherWorkTookTheRoom_DoesNotOrderTheStart) {
+  RefuseNextStart();
+  ASSERT_EQ(cluster_.Submit(owner_, kBulkJob, kWholeWorker, "/bulk/")->status, kOk);
+  cluster_.RunFor(Milliseconds(100));
+  ASSERT_EQ(cluster_.Submit(owner_, kJob, kWholeWorker)->status, kOk);
+  cluster_.RunFor(Milliseconds(1'500));
+  ASSERT_EQ(cluster_.WorkersRunning(kTask).size(), 1U);
+  cluster_.Kill(owner_);
+  cluster_.RunFor(kTakeover);
+  EXPECT_EQ(cluster_.WorkersRunning(kTask).size(), 1U);
+  EXPECT_EQ(cluster_.StartsOf(kBulkTask), 0);
+}
+
 // Guards against a start after the end of the task was stored.
 TEST_F(FormerOwnerShortOrderTest, Worker_RestartedAfterTheEnd_TaskDoesNotRunAgain) {
   OrderLateStart();
