Price a victim by what its stop loses, and spare tasks stopped before

Cause: the cost of a run was the time since its placement, at most 500 ms where it saves checkpoints, so that the run begun last was always the cheapest victim.

Ruled out: excluding runs that resume from preemption altogether, which leaves an urgent step without room where all else has just been restarted.

Change: a run that has saved a checkpoint itself costs one restart; any other costs a restart and all of its time. Both count once for each start of the task, so that a task is not the victim again and again. PlacedRun says when the worker reported the first checkpoint that the run itself saved.

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -35,6 +35,8 @@
   std::uint32_t priority = 0;
   /// Newest progress that the worker reported, or that the run resumed from.
   std::string checkpoint;
+  /// When the worker reported the first checkpoint that the run itself has saved; absent before.
+  std::optional<SteadyTime> saved_at;
   /// Whether the run fills idle processors, and the latency target of a service task (0 for none);
   /// both decide which other runs it interferes with.
   bool fills_idle_cpu = false;
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -369,8 +369,9 @@
       // The order of the earlier owner has arrived.
       run->former_order_until.reset();
     }
-    if (!item.checkpoint.empty()) {
+    if (!item.checkpoint.empty() && run->checkpoint != item.checkpoint) {
       run->checkpoint = item.checkpoint;
+      run->saved_at = run->saved_at.value_or(core_.port.Now());
     }
     run->load_figure = item.load_figure;
     UpdateProgress(id, *run, item.percent);
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -14,22 +14,29 @@
 constexpr std::int64_t kMillicoresPerCore = 1'000;
 // A service task loses no work, but stopping it affects its users, so batch runs are stopped first.
 constexpr std::int64_t kServiceCost = std::numeric_limits<std::int32_t>::max();
-// A run that saves checkpoints loses about this much work.
-constexpr Milliseconds kWorkSinceCheckpoint{500};
+// What each stop costs besides the work that is lost: the run holds its room without progress while
+// it is stopped, started again and resumed from its checkpoint.
+constexpr Milliseconds kRestartTime{600};
+
+// A stop saves a checkpoint, but not while the run is still resuming from the last one. Until it
+// has saved one itself, all of its time counts as lost.
+Milliseconds LostTime(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
+  if (spec.saves_checkpoints && run.saved_at) {
+    return kRestartTime;
+  }
+  return kRestartTime + std::chrono::duration_cast<Milliseconds>(now - run.placed_at);
+}
 
 std::int64_t LostWork(const PlacedRun& run, const StepSpec& spec, SteadyTime now) {
   if (spec.runs_until_cancelled) {
     return kServiceCost;
   }
-  auto lost = std::chrono::duration_cast<Milliseconds>(now - run.placed_at);
-  if (spec.saves_checkpoints) {
-    lost = std::min(lost, kWorkSinceCheckpoint);
-  }
   const std::int64_t cores = spec.per_task.cpu_millicores / kMillicoresPerCore +
                              kCoresPerAccelerator * spec.per_task.accelerators;
   const std::int64_t members = spec.is_gang ? spec.task_count : 1;
-  // At least one core-millisecond, so that fewer victims cost less.
-  return std::max<std::int64_t>(lost.count(), 1) * std::max<std::int64_t>(cores * members, 1);
+  // A task that was stopped before is spared in favour of others, so that it ends at some time.
+  const auto starts = static_cast<std::int64_t>(run.run.run);
+  return LostTime(run, spec, now).count() * std::max<std::int64_t>(cores * members, 1) * starts;
 }
 
 // The run as a victim, or nothing if it may not be stopped at all.
