Place steps that can still meet their objective before those that cannot

Cause: among steps of one priority the oldest went first.

Ruled out: shortest remaining work first, which lets wide gangs wait without a bound, and refusing jobs that have missed their objective, which takes their result from callers who still wait for it.

Change: ObjectiveStanding says whether a job that starts now can end within its objective, late, or too late to be of use, by the estimates on its critical path. Steps of one priority are placed in this order, then by due time; guaranteed steps that may reclaim still go first. For a step that is too late nothing is stopped unless it is guaranteed. Without an objective no job is late.

Result: UrgentOrderTest fails before (the older job starts; a run is stopped) and passes after.

--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "clementineloom/workload/detail/objective_standing.h"
 #include "clementineloom/workload/job_entry.h"
 #include "clementineloom/workload/task_id.h"
 
@@ -21,6 +22,8 @@
   /// Guaranteed, and it has waited long enough to go before all other steps, and to have urgent
   /// runs beyond guarantees stopped for it.
   bool may_reclaim = false;
+  /// What its job can still reach.
+  ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
   [[nodiscard]] const StepSpec& spec() const { return job->submission->steps[step.step]; }
   [[nodiscard]] std::uint32_t priority() const { return job->submission->queue.priority; }
--- /dev/null
+++ b/src/workload/detail/standing_of.cc
@@ -0,0 +1,32 @@
+#include "clementineloom/workload/detail/standing_of.h"
+
+#include "clementineloom/workload/detail/critical_path.h"
+
+namespace clementineloom::workload::detail {
+namespace {
+
+// A result is of use to its caller up to this multiple of the objective.
+constexpr std::int64_t kUsefulObjectives = 3;
+
+std::int64_t ObjectiveMs(const JobSubmission& submission) {
+  const auto path_ms = static_cast<double>(CriticalPathMs(submission.steps));
+  return static_cast<std::int64_t>(submission.queue.stretch * path_ms) +
+         submission.queue.target_latency_ms;
+}
+
+}  // namespace
+
+ObjectiveStanding StandingOf(const StartCandidate& step, std::int64_t unix_now_ms) {
+  const JobSubmission& submission = *step.job->submission;
+  const std::int64_t objective_ms = ObjectiveMs(submission);
+  const std::int64_t ends_after_ms =
+      unix_now_ms - step.due_at_ms + CriticalPathFromMs(submission.steps, step.step.step);
+  // Without an objective no end is late.
+  if (objective_ms == 0 || ends_after_ms <= objective_ms) {
+    return ObjectiveStanding::kReachable;
+  }
+  return ends_after_ms <= kUsefulObjectives * objective_ms ? ObjectiveStanding::kLate
+                                                           : ObjectiveStanding::kMissed;
+}
+
+}  // namespace clementineloom::workload::detail
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
+#include "clementineloom/workload/detail/standing_of.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
 #include "clementineloom/workload/detail/wait_description.h"
@@ -20,6 +22,7 @@
 using detail::ChooseRoom;
 using detail::FitCount;
 using detail::IsAllowed;
+using detail::ObjectiveStanding;
 using detail::StartCandidate;
 using detail::WorkerRoom;
 
@@ -79,7 +82,7 @@
       PlaceTasks(step);
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
-    if (!is_whole && step.priority() == kPreemptingPriority) {
+    if (!is_whole && MayStopRunsFor(step)) {
       claims_.MakeRoom(step, plan_.starts.size() - before, !MayStopOnSeveralRacks(step));
     }
     if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
@@ -138,6 +141,12 @@
     return ChooseRoom(rooms_.On({}), step, request_);
   }
 
+  // Other work is not lost for a result that comes too late.
+  static bool MayStopRunsFor(const StartCandidate& step) {
+    return step.priority() == kPreemptingPriority &&
+           (step.is_guaranteed || step.standing != ObjectiveStanding::kMissed);
+  }
+
   void PlaceTasks(const StartCandidate& step) {
     for (const std::uint32_t index : step.task_indexes) {
       WorkerRoom* room = ChooseNearData(step);
@@ -239,9 +248,13 @@
   }
   detail::GuaranteeTable guarantees(request);
   for (StartCandidate& it : candidates) {
+    it.standing = detail::StandingOf(it, request.unix_now_ms);
     it.is_guaranteed = guarantees.Admit(it);
     it.may_reclaim = it.is_guaranteed && request.unix_now_ms >= it.due_at_ms + kReclaimAfterMs;
   }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::tuple(a.priority(), a.standing) < std::tuple(b.priority(), b.standing);
+  });
   const auto rest = std::stable_partition(candidates.begin(), candidates.end(),
                                           [](const auto& it) { return it.may_reclaim; });
   PlanningPass pass(request, guarantees);
