Place gangs on the tightest rack, and wide ones without a wait

Cause: a gang that prefers one rack took the first rack in the order of names that held it, which breaks up the room that wider gangs need.

Ruled out: a wait by the gang's width, since only the capacity of the racks tells whether a wait can help.

Change: the rack with the least free accelerators that holds the gang is taken, and the wait ends at once where no rack is large enough when empty.

--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -165,27 +165,64 @@
         (PlaceGangOn(step, spec.data_rack) || IsWorthWaiting(step))) {
       return;
     }
-    if (spec.prefers_one_rack && (PlaceGangOnAnyRack(step) || IsWorthWaiting(step))) {
+    if (spec.prefers_one_rack &&
+        (PlaceGangOnAnyRack(step) || (IsWorthWaiting(step) && CanAnyRackHold(step)))) {
       return;
     }
     PlaceGangOn(step, {});
   }
 
+  // Takes the rack with the least room left, so that wider gangs find one.
   bool PlaceGangOnAnyRack(const StartCandidate& step) {
-    return std::any_of(rooms_.racks().begin(), rooms_.racks().end(),
-                       [&](const auto& it) { return PlaceGangOn(step, it.first); });
+    const std::string* best = nullptr;
+    std::int64_t least_free = 0;
+    for (const auto& [rack, rooms] : rooms_.racks()) {
+      if (!HasRoomForGang(step, rooms)) {
+        continue;
+      }
+      std::int64_t free = 0;
+      for (const WorkerRoom* it : rooms) {
+        free += it->free.accelerators;
+      }
+      if (best == nullptr || free < least_free) {
+        best = &rack;
+        least_free = free;
+      }
+    }
+    return best != nullptr && PlaceGangOn(step, *best);
+  }
+
+  // Whether any rack could hold all members if nothing else ran there.
+  bool CanAnyRackHold(const StartCandidate& step) const {
+    return std::any_of(rooms_.racks().begin(), rooms_.racks().end(), [&](const auto& rack) {
+      return AreEnough(step, rack.second, [&](const WorkerRoom& it) {
+        return IsEligible(*it.worker, step) ? FitCount(it, it.worker->info.capacity, step) : 0;
+      });
+    });
+  }
+
+  bool HasRoomForGang(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) const {
+    return AreEnough(step, rooms, [&](const WorkerRoom& it) {
+      const std::int64_t count = FitCount(it, it.free, step);
+      return count > 0 && IsAllowed(it, step, request_) ? count : 0;
+    });
+  }
+
+  // Whether rooms hold all members of a gang, by the count for each room.
+  template <class Count>
+  static bool AreEnough(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
+                        Count count) {
+    auto missing = static_cast<std::int64_t>(step.task_indexes.size());
+    for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
+      missing -= count(**it);
+    }
+    return missing <= 0;
   }
 
   // Places a whole gang on the workers of a rack, or nothing.
   bool PlaceGangOn(const StartCandidate& step, const std::string& rack) {
     const std::vector<WorkerRoom*>& rooms = rooms_.On(rack);
-    const auto needed = static_cast<std::int64_t>(step.task_indexes.size());
-    std::int64_t fits = 0;
-    for (const WorkerRoom* it : rooms) {
-      const std::int64_t count = FitCount(*it, it->free, step);
-      fits += count > 0 && IsAllowed(*it, step, request_) ? count : 0;
-    }
-    if (fits < needed) {
+    if (!HasRoomForGang(step, rooms)) {
       return false;
     }
     const std::string checkpoint = GangCheckpoint(step);
