Keep room free for urgent work that is about to arrive

Ruled out: a limit on how often a run may be stopped (urgent work then waits), and a fixed share of the fleet for urgent work (the sites differ from 17% to over half).

Change: UrgentDemand keeps the greatest number of accelerators that urgent work held or waited for in the last 10 s. As many are kept free of less urgent work, on the racks where least of it runs, because urgent gangs want one rack. At most 40% of a fleet is kept idle, and service tasks may use it. Urgent work takes this room first.

--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -35,6 +36,9 @@
   void Stop(WorkerRoom& room, const PlacedRun& run);
 
  private:
+  // Keeps the rooms of some workers of a service for urgent work.
+  void Reserve(const std::string& service, std::int64_t accelerators);
+
   // The members of a gang share step and run number.
   using GangKey = std::pair<StepId, std::uint64_t>;
 
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -32,6 +32,11 @@
   /// Whether service tasks, or tasks that fill idle processors, run or are planned here.
   bool has_service_tasks = false;
   bool has_fill_tasks = false;
+  /// Accelerators that urgent and other runs hold, without those that are being stopped.
+  std::int64_t urgent_accelerators = 0;
+  std::int64_t less_urgent_accelerators = 0;
+  /// Whether the room is kept for urgent work.
+  bool is_reserved = false;
 
   [[nodiscard]] std::uint32_t CountOf(const StepId& step) const {
     const auto it = planned.find(step);
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "clementineloom/workload/accelerators_by_service.h"
 #include "clementineloom/workload/advice_cache.h"
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/room_claim.h"
@@ -28,6 +29,9 @@
   std::int64_t unix_now_ms = 0;
   /// All teams, with what each is guaranteed for its urgent jobs.
   std::span<const TeamAccess> teams = {};
+  /// Accelerators to keep free of less urgent work, by service, for urgent work that is about to
+  /// arrive.
+  AcceleratorsByService urgent_reserve = {};
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "clementineloom/workload/accelerators_by_service.h"
 #include "clementineloom/workload/advice_question.h"
 #include "clementineloom/workload/guarantee_wait.h"
 #include "clementineloom/workload/planned_start.h"
@@ -20,6 +21,8 @@
   std::vector<RoomClaim> claims;
   /// Urgent steps within their guarantees that have waited for long.
   std::vector<GuaranteeWait> waits;
+  /// Accelerators that urgent work holds, or waits for and can still use in time.
+  AcceleratorsByService urgent_demand;
   /// Question for the most urgent step that lacks approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -9,6 +11,7 @@
 #include <vector>
 
 #include "clementineloom/workload/task_planner.h"
+#include "clementineloom/workload/urgent_demand.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/step_wait_log.h"
@@ -65,10 +68,12 @@
       return;
     }
     const workload::PlanRequest request{
-        core_.jobs, core_.workers,    core_.operators.evacuated(), core_.advice,
-        claims_,    core_.port.Now(), core_.port.UnixNowMs(),      Teams()};
+        core_.jobs,     core_.workers,    core_.operators.evacuated(), core_.advice,
+        claims_,        core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
+        UrgentReserve()};
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
+    NoteUrgentDemand(request.now, plan.urgent_demand);
     LogNewWaits(plan.waits);
     if (step_waits_.IsDue(request.now)) {
       step_waits_.Check(request, SilentWorkers());
@@ -84,6 +89,20 @@
     }
   }
 
+  workload::AcceleratorsByService UrgentReserve() const {
+    workload::AcceleratorsByService reserve;
+    for (const auto& [service, demand] : urgent_demand_) {
+      reserve.emplace(service, demand.Forecast(core_.port.Now()));
+    }
+    return reserve;
+  }
+
+  void NoteUrgentDemand(workload::SteadyTime now, const workload::AcceleratorsByService& demand) {
+    for (const auto& [service, accelerators] : demand) {
+      urgent_demand_[service].Note(now, accelerators);
+    }
+  }
+
   std::span<const workload::TeamAccess> Teams() const {
     const auto& config = core_.operators.config();
     return config ? std::span<const workload::TeamAccess>(config->teams)
@@ -222,6 +241,8 @@
   WorkerOrders<Platform, Port>& orders_;
   // Capacity that the last plan reserved for waiting urgent tasks.
   std::vector<workload::RoomClaim> claims_;
+  // By service; the room that less urgent work leaves free follows it.
+  std::map<std::string, workload::UrgentDemand, std::less<>> urgent_demand_;
   // Steps within their team's guarantee that the last plan left waiting.
   std::set<workload::StepId> waiting_;
   StepWaitLog step_waits_;
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -7,11 +7,16 @@
 namespace clementineloom::workload::detail {
 namespace {
 
-// Lower is better: first fill tasks and service tasks are kept apart, then the tightest fit wins.
-std::tuple<bool, std::int64_t, std::int64_t> CostOf(const WorkerRoom& room, const StepSpec& spec) {
+// Lower is better: first fill tasks and service tasks are kept apart, then urgent work uses the
+// room that is kept for it and services leave it, then the tightest fit wins.
+std::tuple<bool, bool, std::int64_t, std::int64_t> CostOf(const WorkerRoom& room,
+                                                          const StartCandidate& step) {
+  const StepSpec& spec = step.spec();
+  const bool is_urgent = step.priority() == kPreemptingPriority;
   const bool interferes = (spec.fills_idle_cpu && room.has_service_tasks) ||
                           (spec.tail_target_ms > 0 && room.has_fill_tasks);
-  return {interferes, room.free.accelerators, room.free.cpu_millicores};
+  return {interferes, room.is_reserved != is_urgent, room.free.accelerators,
+          room.free.cpu_millicores};
 }
 
 }  // namespace
@@ -22,12 +27,16 @@
          (spec.required_label.empty() || worker.info.HasLabel(spec.required_label));
 }
 
+bool MayUseReserve(const StartCandidate& step) {
+  return step.priority() == kPreemptingPriority || step.spec().runs_until_cancelled;
+}
+
 bool HasRoom(const WorkerRoom& room, const StartCandidate& step) {
   return FitCount(room, room.free, step) > 0;
 }
 
 bool IsAllowed(const WorkerRoom& room, const StartCandidate& step, const PlanRequest& request) {
-  if (!IsEligible(*room.worker, step)) {
+  if (!IsEligible(*room.worker, step) || (room.is_reserved && !MayUseReserve(step))) {
     return false;
   }
   return !step.job->submission->queue.needs_advice ||
@@ -64,7 +73,7 @@
     if (!HasRoom(*it, step) || !IsAllowed(*it, step, request)) {
       continue;
     }
-    if (best == nullptr || CostOf(*it, step.spec()) < CostOf(*best, step.spec())) {
+    if (best == nullptr || CostOf(*it, step) < CostOf(*best, step)) {
       best = it;
     }
   }
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -3,11 +3,16 @@
 #include <algorithm>
 
 #include "clementineloom/workload/detail/ends_soon.h"
+#include "clementineloom/workload/detail/rack_reserve.h"
 #include "clementineloom/workload/detail/victim_search.h"
 
 namespace clementineloom::workload::detail {
 namespace {
 
+// Most of a fleet that is kept idle for urgent work. Less than half, so that waiting work always
+// gets most of what urgent work does not use.
+constexpr std::int64_t kMaxIdleReservePercent = 40;
+
 WorkerRoom RoomOf(const PoolWorker& worker, SteadyTime now) {
   WorkerRoom room;
   room.worker = &worker;
@@ -21,6 +26,11 @@
     if (is_being_stopped || EndsSoon(placed, now)) {
       room.free_later = room.free_later + placed.reserved;
     }
+    if (placed.stage != RunStage::kStopping) {
+      std::int64_t& held = placed.priority == kPreemptingPriority ? room.urgent_accelerators
+                                                                  : room.less_urgent_accelerators;
+      held += placed.reserved.accelerators;
+    }
   }
   return room;
 }
@@ -38,6 +48,42 @@
     all_.push_back(&it);
     racks_[it.worker->info.rack].push_back(&it);
   }
+  for (const auto& [service, accelerators] : request.urgent_reserve) {
+    Reserve(service, accelerators);
+  }
+}
+
+void RoomTable::Reserve(const std::string& service, std::int64_t accelerators) {
+  std::vector<RackLoad> loads;
+  std::int64_t total = 0;
+  std::int64_t urgent = 0;
+  for (const auto& [rack, rooms] : racks_) {
+    RackLoad load{rack, 0, 0};
+    for (const WorkerRoom* it : rooms) {
+      if (it->worker->info.service == service) {
+        load.accelerators += it->worker->info.capacity.accelerators;
+        load.less_urgent += it->less_urgent_accelerators;
+        urgent += it->urgent_accelerators;
+      }
+    }
+    total += load.accelerators;
+    loads.push_back(std::move(load));
+  }
+  const std::int64_t most = urgent + total * kMaxIdleReservePercent / 100;
+  for (auto [rack, left] : ChooseRackReserve(std::move(loads), std::min(accelerators, most))) {
+    std::vector<WorkerRoom*> rooms = racks_.at(rack);
+    std::stable_sort(rooms.begin(), rooms.end(), [](const WorkerRoom* a, const WorkerRoom* b) {
+      return a->less_urgent_accelerators < b->less_urgent_accelerators;
+    });
+    // Whole workers only, and never more than the limit.
+    for (WorkerRoom* it : rooms) {
+      const std::int64_t capacity = it->worker->info.capacity.accelerators;
+      if (it->worker->info.service == service && capacity <= left) {
+        it->is_reserved = true;
+        left -= capacity;
+      }
+    }
+  }
 }
 
 const std::vector<WorkerRoom*>& RoomTable::On(const std::string& rack) const {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -64,7 +64,8 @@
     }
   }
 
-  StartPlan TakePlan() {
+  StartPlan TakePlan(std::span<const StartCandidate> steps) {
+    plan_.urgent_demand = UrgentDemand(steps);
     plan_.preemptions = claims_.preemptions();
     plan_.claims = claims_.claims();
     return std::move(plan_);
@@ -93,6 +94,20 @@
     }
   }
 
+  // What urgent runs hold, and what urgent steps wait for that can still use it.
+  AcceleratorsByService UrgentDemand(std::span<const StartCandidate> steps) const {
+    AcceleratorsByService demand;
+    for (const WorkerRoom* it : rooms_.On({})) {
+      demand[it->worker->info.service] += it->urgent_accelerators;
+    }
+    for (const StartCandidate& it : steps) {
+      if (it.priority() == kPreemptingPriority && it.standing != ObjectiveStanding::kMissed) {
+        demand[it.job->submission->queue.service] += it.Accelerators();
+      }
+    }
+    return demand;
+  }
+
   void AddWait(const StartCandidate& step) {
     auto wait = detail::DescribeWait(step, request_, rooms_, claims_, guarantees_);
     if (wait) {
@@ -172,21 +187,23 @@
     PlaceGangOn(step, {});
   }
 
-  // Takes the rack with the least room left, so that wider gangs find one.
+  // Takes the rack with the least room left, so that wider gangs find one; for urgent gangs a rack
+  // that is kept for them.
   bool PlaceGangOnAnyRack(const StartCandidate& step) {
+    const bool is_urgent = step.priority() == kPreemptingPriority;
     const std::string* best = nullptr;
-    std::int64_t least_free = 0;
+    std::pair<bool, std::int64_t> best_cost;
     for (const auto& [rack, rooms] : rooms_.racks()) {
-      if (!HasRoomForGang(step, rooms)) {
+      if (GangFitCount(step, rooms) < static_cast<std::int64_t>(step.task_indexes.size())) {
         continue;
       }
-      std::int64_t free = 0;
+      std::pair<bool, std::int64_t> cost{is_urgent != rooms.front()->is_reserved, 0};
       for (const WorkerRoom* it : rooms) {
-        free += it->free.accelerators;
+        cost.second += it->free.accelerators;
       }
-      if (best == nullptr || free < least_free) {
+      if (best == nullptr || cost < best_cost) {
         best = &rack;
-        least_free = free;
+        best_cost = cost;
       }
     }
     return best != nullptr && PlaceGangOn(step, *best);
@@ -195,34 +212,29 @@
   // Whether any rack could hold all members if nothing else ran there.
   bool CanAnyRackHold(const StartCandidate& step) const {
     return std::any_of(rooms_.racks().begin(), rooms_.racks().end(), [&](const auto& rack) {
-      return AreEnough(step, rack.second, [&](const WorkerRoom& it) {
-        return IsEligible(*it.worker, step) ? FitCount(it, it.worker->info.capacity, step) : 0;
-      });
-    });
-  }
-
-  bool HasRoomForGang(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) const {
-    return AreEnough(step, rooms, [&](const WorkerRoom& it) {
-      const std::int64_t count = FitCount(it, it.free, step);
-      return count > 0 && IsAllowed(it, step, request_) ? count : 0;
+      std::int64_t fits = 0;
+      for (const WorkerRoom* it : rack.second) {
+        const bool is_eligible = IsEligible(*it->worker, step);
+        fits += is_eligible ? FitCount(*it, it->worker->info.capacity, step) : 0;
+      }
+      return fits >= static_cast<std::int64_t>(step.task_indexes.size());
     });
   }
 
-  // Whether rooms hold all members of a gang, by the count for each room.
-  template <class Count>
-  static bool AreEnough(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
-                        Count count) {
-    auto missing = static_cast<std::int64_t>(step.task_indexes.size());
-    for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
-      missing -= count(**it);
+  std::int64_t GangFitCount(const StartCandidate& step,
+                            const std::vector<WorkerRoom*>& rooms) const {
+    std::int64_t fits = 0;
+    for (const WorkerRoom* it : rooms) {
+      const std::int64_t count = FitCount(*it, it->free, step);
+      fits += count > 0 && IsAllowed(*it, step, request_) ? count : 0;
     }
-    return missing <= 0;
+    return fits;
   }
 
   // Places a whole gang on the workers of a rack, or nothing.
   bool PlaceGangOn(const StartCandidate& step, const std::string& rack) {
     const std::vector<WorkerRoom*>& rooms = rooms_.On(rack);
-    if (!HasRoomForGang(step, rooms)) {
+    if (GangFitCount(step, rooms) < static_cast<std::int64_t>(step.task_indexes.size())) {
       return false;
     }
     const std::string checkpoint = GangCheckpoint(step);
@@ -299,7 +311,7 @@
   // work.
   pass.PlaceAll({candidates.begin(), rest});
   pass.PlaceAll({rest, candidates.end()});
-  return pass.TakePlan();
+  return pass.TakePlan(candidates);
 }
 
 }  // namespace clementineloom::workload
