Index the rooms of a plan, and look only at rooms that change

By the profile, each task scanned every worker for room, each task of an urgent gang priced the victims of every worker again, each gang counted the room of every rack, and the names of all held tasks were copied or compared.

Ruled out for now: an index that is kept from plan to plan.

The decisions are the same.

--- a/include/clementineloom/workload/detail/reclaim_budget.h
+++ b/include/clementineloom/workload/detail/reclaim_budget.h
@@ -21,7 +21,7 @@
 
   /// @brief Whether a run may be stopped together with those that were chosen before. Less urgent
   /// runs always may. Complexity: O(chosen^2).
-  [[nodiscard]] bool Allows(const Victim& victim, const std::vector<Victim>& chosen) const;
+  [[nodiscard]] bool Allows(const Victim& victim, const std::vector<const Victim*>& chosen) const;
 
   /// @brief Records a stop; the stop of a gang counts once.
   void Stop(const Victim& victim);
--- a/include/clementineloom/workload/detail/room_choice.h
+++ b/include/clementineloom/workload/detail/room_choice.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "clementineloom/workload/detail/room_rank.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/worker_room.h"
 #include "clementineloom/workload/plan_request.h"
@@ -28,7 +29,12 @@
 [[nodiscard]] std::int64_t FitCount(const WorkerRoom& room, const Resources& room_left,
                                     const StartCandidate& step);
 
-/// @brief The best worker for one more task of a step, or null.
+/// @brief How well a worker suits a step, apart from the room that is left there. Fill tasks and
+/// service tasks are kept apart first; then urgent work uses the room that is kept for it, and
+/// services leave it.
+[[nodiscard]] RoomRank RankOf(const WorkerRoom& room, const StartCandidate& step);
+
+/// @brief The best worker of a few for one more task of a step, or null. Complexity: linear.
 [[nodiscard]] WorkerRoom* ChooseRoom(const std::vector<WorkerRoom*>& rooms,
                                      const StartCandidate& step, const PlanRequest& request);
 
--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -53,13 +53,17 @@
 
   // Holds an amount for each task in the room that the last plan claimed for it.
   void HoldEach(const StartCandidate& step, const Resources& amount);
+  // Claims room for the tasks from one on, each wherever that costs least.
+  void MakeRoomAnywhere(const StartCandidate& step, std::size_t placed);
   // Returns whether any rack can hold all tasks.
   bool MakeRoomOnOneRack(const StartCandidate& step);
   // Whether the last plan claimed room for a step on more than one rack.
   [[nodiscard]] bool WasOnSeveralRacks(const StartCandidate& step) const;
-  // Tries to claim room for all tasks on copies of the rack's rooms.
+  // Tries to claim room for all tasks on copies of the rack's rooms, for less than a limit if there
+  // is one.
   [[nodiscard]] std::optional<RackClaim> TryRack(const StartCandidate& step,
-                                                 const std::vector<WorkerRoom*>& rack) const;
+                                                 const std::vector<WorkerRoom*>& rack,
+                                                 const StopCost* limit) const;
   // The room that the last plan claimed for a task, or null.
   [[nodiscard]] WorkerRoom* PreviousRoom(const TaskId& task) const;
   // The same room, if it is or becomes free without another stop.
@@ -69,7 +73,16 @@
   [[nodiscard]] std::optional<Choice> Choose(const std::vector<WorkerRoom*>& rooms,
                                              const StartCandidate& step,
                                              const ReclaimBudget& budget) const;
-  void ApplyChoice(const Choice& choice, const StartCandidate& step, std::uint32_t index);
+  // The same on one room, for less than a limit if there is one.
+  [[nodiscard]] std::optional<Choice> ChoiceOn(WorkerRoom& room, const StartCandidate& step,
+                                               const ReclaimBudget& budget,
+                                               const StopCost* limit) const;
+  // The choices of all rooms, in their order; nothing for a room that cannot be made.
+  [[nodiscard]] std::vector<std::optional<Choice>> ChoicesOfAll(const StartCandidate& step) const;
+  static std::optional<Choice> CheapestOf(const std::vector<std::optional<Choice>>& choices);
+  // Returns the rooms that change; some may be listed twice.
+  std::vector<WorkerRoom*> ApplyChoice(const Choice& choice, const StartCandidate& step,
+                                       std::uint32_t index);
 
   const PlanRequest& request_;
   RoomTable& rooms_;
--- a/include/clementineloom/workload/detail/victim_search.h
+++ b/include/clementineloom/workload/detail/victim_search.h
@@ -28,9 +28,11 @@
 ///
 /// Urgent runs are stopped only for a step that may reclaim.
 /// Precondition: the victims of the room are listed. Complexity: O(victims^2).
-/// @return nothing if no set makes enough room
+/// @param limit the set has to cost less, if not null
+/// @return nothing if no set makes enough room, or none below the limit
 [[nodiscard]] std::optional<VictimSet> FindVictims(const WorkerRoom& room,
                                                    const StartCandidate& step,
-                                                   const ReclaimBudget& budget);
+                                                   const ReclaimBudget& budget,
+                                                   const StopCost* limit);
 
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "clementineloom/workload/detail/rack_room.h"
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/victim.h"
 #include "clementineloom/workload/pool_worker.h"
@@ -17,6 +18,8 @@
 /// @brief Free and reclaimable resources of a worker while a plan is being made.
 struct WorkerRoom {
   const PoolWorker* worker = nullptr;
+  /// The rack that it is counted in.
+  RackRoom* rack = nullptr;
   /// Room that can be taken now. Negative where waiting tasks have a claim on more than is free.
   Resources free;
   /// Room once the runs that are being stopped have ended, less all claims on it.
--- a/include/clementineloom/workload/job_entry.h
+++ b/include/clementineloom/workload/job_entry.h
@@ -29,6 +29,11 @@
   /// @brief The record of a task; a task that never started has the initial one.
   [[nodiscard]] const TaskRecord& Task(const TaskId& id) const;
 
+  /// @brief What a step asks for, or null if the submission is not known or has no such step.
+  [[nodiscard]] const StepSpec* FindStep(std::uint32_t step) const {
+    return submission && step < submission->steps.size() ? &submission->steps[step] : nullptr;
+  }
+
   /// @brief Whether all tasks of a step are done. Precondition: submission is set and has the step.
   [[nodiscard]] bool IsStepDone(std::uint32_t occurrence, std::uint32_t step) const;
 
--- a/src/workload/detail/reclaim_budget.cc
+++ b/src/workload/detail/reclaim_budget.cc
@@ -12,19 +12,19 @@
 
 }  // namespace
 
-bool ReclaimBudget::Allows(const Victim& victim, const std::vector<Victim>& chosen) const {
+bool ReclaimBudget::Allows(const Victim& victim, const std::vector<const Victim*>& chosen) const {
   if (!victim.team || IsStopped(victim)) {
     return true;
   }
   std::int64_t lost = 0;
   for (auto it = chosen.begin(); it != chosen.end(); ++it) {
-    if (AreOfSameGang(*it, victim)) {
+    if (AreOfSameGang(**it, victim)) {
       return true;
     }
-    const auto is_counted = [&](const Victim& other) { return AreOfSameGang(other, *it); };
-    if (it->team == victim.team && !IsStopped(*it) &&
+    const auto is_counted = [&](const Victim* other) { return AreOfSameGang(*other, **it); };
+    if ((*it)->team == victim.team && !IsStopped(**it) &&
         std::none_of(chosen.begin(), it, is_counted)) {
-      lost += it->accelerators;
+      lost += (*it)->accelerators;
     }
   }
   return shares_[*victim.team].MayLoseRunAfter(lost);
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -7,16 +7,10 @@
 namespace clementineloom::workload::detail {
 namespace {
 
-// Lower is better: first fill tasks and service tasks are kept apart, then urgent work uses the
-// room that is kept for it and services leave it, then the tightest fit wins.
-std::tuple<bool, bool, std::int64_t, std::int64_t> CostOf(const WorkerRoom& room,
-                                                          const StartCandidate& step) {
-  const StepSpec& spec = step.spec();
-  const bool is_urgent = step.priority() == kPreemptingPriority;
-  const bool interferes = (spec.fills_idle_cpu && room.has_service_tasks) ||
-                          (spec.tail_target_ms > 0 && room.has_fill_tasks);
-  return {interferes, room.is_reserved != is_urgent, room.free.accelerators,
-          room.free.cpu_millicores};
+// Lower is better: the rank, then the tightest fit.
+std::tuple<RoomRank, std::int64_t, std::int64_t> CostOf(const WorkerRoom& room,
+                                                        const StartCandidate& step) {
+  return {RankOf(room, step), room.free.accelerators, room.free.cpu_millicores};
 }
 
 }  // namespace
@@ -65,6 +59,14 @@
   return std::max<std::int64_t>(count, 0);
 }
 
+RoomRank RankOf(const WorkerRoom& room, const StartCandidate& step) {
+  const StepSpec& spec = step.spec();
+  const bool interferes = (spec.fills_idle_cpu && room.has_service_tasks) ||
+                          (spec.tail_target_ms > 0 && room.has_fill_tasks);
+  const bool is_urgent = step.priority() == kPreemptingPriority;
+  return {interferes, room.is_reserved != is_urgent};
+}
+
 WorkerRoom* ChooseRoom(const std::vector<WorkerRoom*>& rooms, const StartCandidate& step,
                        const PlanRequest& request) {
   WorkerRoom* best = nullptr;
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -18,9 +18,9 @@
   room.worker = &worker;
   room.free = worker.Free();
   room.free_later = room.free;
-  room.has_service_tasks = worker.HasServiceTasks();
-  room.has_fill_tasks = worker.HasFillTasks();
   for (const auto& [run, placed] : worker.runs) {
+    room.has_service_tasks = room.has_service_tasks || placed.tail_target_ms > 0;
+    room.has_fill_tasks = room.has_fill_tasks || placed.fills_idle_cpu;
     const bool is_being_stopped =
         placed.stage == RunStage::kStopping && !placed.start_copies.IsLate(now);
     if (is_being_stopped || EndsSoon(placed, now)) {
@@ -46,20 +46,32 @@
   }
   for (WorkerRoom& it : rooms_) {
     all_.push_back(&it);
-    racks_[it.worker->info.rack].push_back(&it);
+    it.rack = &racks_[it.worker->info.rack];
+    it.rack->rooms.push_back(&it);
+    Count(it);
   }
   for (const auto& [service, accelerators] : request.urgent_reserve) {
     Reserve(service, accelerators);
   }
 }
 
+void RoomTable::Count(WorkerRoom& room) {
+  index_.Add(room);
+  room.rack->free_accelerators += std::max<std::int64_t>(room.free.accelerators, 0);
+}
+
+void RoomTable::Discount(WorkerRoom& room) {
+  index_.Remove(room);
+  room.rack->free_accelerators -= std::max<std::int64_t>(room.free.accelerators, 0);
+}
+
 void RoomTable::Reserve(const std::string& service, std::int64_t accelerators) {
   std::vector<RackLoad> loads;
   std::int64_t total = 0;
   std::int64_t urgent = 0;
-  for (const auto& [rack, rooms] : racks_) {
-    RackLoad load{rack, 0, 0};
-    for (const WorkerRoom* it : rooms) {
+  for (const auto& [name, rack] : racks_) {
+    RackLoad load{name, 0, 0};
+    for (const WorkerRoom* it : rack.rooms) {
       if (it->worker->info.service == service) {
         load.accelerators += it->worker->info.capacity.accelerators;
         load.less_urgent += it->less_urgent_accelerators;
@@ -71,7 +83,7 @@
   }
   const std::int64_t most = urgent + total * kMaxIdleReservePercent / 100;
   for (auto [rack, left] : ChooseRackReserve(std::move(loads), std::min(accelerators, most))) {
-    std::vector<WorkerRoom*> rooms = racks_.at(rack);
+    std::vector<WorkerRoom*> rooms = racks_.at(rack).rooms;
     std::stable_sort(rooms.begin(), rooms.end(), [](const WorkerRoom* a, const WorkerRoom* b) {
       return a->less_urgent_accelerators < b->less_urgent_accelerators;
     });
@@ -92,7 +104,7 @@
     return all_;
   }
   const auto it = racks_.find(rack);
-  return it == racks_.end() ? none : it->second;
+  return it == racks_.end() ? none : it->second.rooms;
 }
 
 WorkerRoom* RoomTable::Find(const std::string& worker) const {
@@ -103,6 +115,18 @@
   return it == all_.end() || (*it)->worker->info.id != worker ? nullptr : *it;
 }
 
+void RoomTable::Take(WorkerRoom& room, const StartCandidate& step) {
+  Discount(room);
+  room.Take(step.step, step.spec());
+  Count(room);
+}
+
+void RoomTable::Hold(WorkerRoom& room, const Resources& amount) {
+  Discount(room);
+  room.Hold(amount);
+  Count(room);
+}
+
 void RoomTable::ListVictims(const GuaranteeTable& guarantees) {
   if (std::exchange(has_victims_, true)) {
     return;
@@ -118,15 +142,19 @@
   }
 }
 
-void RoomTable::Stop(WorkerRoom& room, const PlacedRun& run) {
+std::vector<WorkerRoom*> RoomTable::Stop(WorkerRoom& room, const PlacedRun& run) {
+  std::vector<WorkerRoom*> changed{&room};
   room.Stop(run);
   const auto members = gangs_.find({run.run.task.step, run.run.run});
   if (members == gangs_.end()) {
-    return;
+    return changed;
   }
   for (const auto& [other, member] : members->second) {
-    other->Stop(*member);
+    if (other->Stop(*member)) {
+      changed.push_back(other);
+    }
   }
+  return changed;
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -1,5 +1,6 @@
 #include "clementineloom/workload/detail/urgent_claims.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -40,7 +41,7 @@
 void UrgentClaims::HoldEach(const StartCandidate& step, const Resources& amount) {
   for (const std::uint32_t index : step.task_indexes) {
     if (WorkerRoom* room = PreviousRoom({step.step, index})) {
-      room->Hold(amount);
+      rooms_.Hold(*room, amount);
     }
   }
 }
@@ -69,28 +70,69 @@
   if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
     return;
   }
+  MakeRoomAnywhere(step, placed);
+}
+
+void UrgentClaims::MakeRoomAnywhere(const StartCandidate& step, std::size_t placed) {
+  // The choice of each room, filled when it is first needed; only rooms that change are looked at
+  // again for the next task.
+  std::vector<std::optional<Choice>> choices;
   for (std::size_t n = placed; n < step.task_indexes.size(); ++n) {
     auto choice = KeepPrevious(step, {step.step, step.task_indexes[n]});
     if (!choice) {
-      choice = Choose(rooms_.On({}), step, budget_);
+      if (choices.empty()) {
+        choices = ChoicesOfAll(step);
+      }
+      choice = CheapestOf(choices);
     }
     if (!choice) {
       return;
     }
-    ApplyChoice(*choice, step, step.task_indexes[n]);
+    const std::vector<WorkerRoom*> changed = ApplyChoice(*choice, step, step.task_indexes[n]);
+    const bool is_budget_changed =
+        std::any_of(choice->victims.begin(), choice->victims.end(),
+                    [](const Victim& it) { return it.team.has_value(); });
+    if (is_budget_changed) {
+      choices.clear();
+    } else if (!choices.empty()) {
+      for (WorkerRoom* it : changed) {
+        choices[rooms_.PositionOf(*it)] = ChoiceOn(*it, step, budget_, nullptr);
+      }
+    }
   }
 }
 
+std::vector<std::optional<UrgentClaims::Choice>> UrgentClaims::ChoicesOfAll(
+    const StartCandidate& step) const {
+  std::vector<std::optional<Choice>> choices;
+  choices.reserve(rooms_.On({}).size());
+  for (WorkerRoom* it : rooms_.On({})) {
+    choices.push_back(ChoiceOn(*it, step, budget_, nullptr));
+  }
+  return choices;
+}
+
+std::optional<UrgentClaims::Choice> UrgentClaims::CheapestOf(
+    const std::vector<std::optional<Choice>>& choices) {
+  const std::optional<Choice>* best = nullptr;
+  for (const std::optional<Choice>& it : choices) {
+    if (it && (best == nullptr || it->cost < (*best)->cost)) {
+      best = &it;
+    }
+  }
+  return best == nullptr ? std::nullopt : *best;
+}
+
 bool UrgentClaims::MakeRoomOnOneRack(const StartCandidate& step) {
   std::optional<RackClaim> best;
   if (const WorkerRoom* last = PreviousRoom({step.step, step.task_indexes.front()})) {
-    best = TryRack(step, rooms_.On(last->worker->info.rack));
+    best = TryRack(step, rooms_.On(last->worker->info.rack), nullptr);
   }
   for (const auto& [name, rack] : rooms_.racks()) {
     if (best && best->cost == StopCost{}) {
       break;
     }
-    auto claim = TryRack(step, rack);
+    auto claim = TryRack(step, rack.rooms, best ? &best->cost : nullptr);
     if (claim && (!best || claim->cost < best->cost)) {
       best = std::move(claim);
     }
@@ -115,8 +157,9 @@
   return false;
 }
 
-std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(
-    const StartCandidate& step, const std::vector<WorkerRoom*>& rack) const {
+std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(const StartCandidate& step,
+                                                             const std::vector<WorkerRoom*>& rack,
+                                                             const StopCost* limit) const {
   if (!CanHoldAll(step, rack)) {
     return std::nullopt;
   }
@@ -143,23 +186,34 @@
     choice->room->Take(step.step, step.spec());
     choice->room = originals.at(choice->room);
     claim.cost = claim.cost + choice->cost;
+    if (limit != nullptr && claim.cost >= *limit) {
+      return std::nullopt;
+    }
     claim.choices.push_back(std::move(*choice));
   }
   return claim;
 }
 
+std::optional<UrgentClaims::Choice> UrgentClaims::ChoiceOn(WorkerRoom& room,
+                                                           const StartCandidate& step,
+                                                           const ReclaimBudget& budget,
+                                                           const StopCost* limit) const {
+  if (!step.spec().Reserved().FitsIn(room.FreeableFor(step)) || !IsAllowed(room, step, request_)) {
+    return std::nullopt;
+  }
+  auto victims = FindVictims(room, step, budget, limit);
+  return victims ? std::optional(Choice{&room, std::move(victims->victims), victims->cost})
+                 : std::nullopt;
+}
+
 std::optional<UrgentClaims::Choice> UrgentClaims::Choose(const std::vector<WorkerRoom*>& rooms,
                                                          const StartCandidate& step,
                                                          const ReclaimBudget& budget) const {
-  const Resources needed = step.spec().Reserved();
   std::optional<Choice> best;
   for (WorkerRoom* it : rooms) {
-    if (!needed.FitsIn(it->FreeableFor(step)) || !IsAllowed(*it, step, request_)) {
-      continue;
-    }
-    auto victims = FindVictims(*it, step, budget);
-    if (victims && (!best || victims->cost < best->cost)) {
-      best = Choice{it, std::move(victims->victims), victims->cost};
+    auto choice = ChoiceOn(*it, step, budget, best ? &best->cost : nullptr);
+    if (choice && (!best || choice->cost < best->cost)) {
+      best = std::move(choice);
       if (best->cost == StopCost{}) {
         break;
       }
@@ -168,15 +222,18 @@
   return best;
 }
 
-void UrgentClaims::ApplyChoice(const Choice& choice, const StartCandidate& step,
-                               std::uint32_t index) {
+std::vector<WorkerRoom*> UrgentClaims::ApplyChoice(const Choice& choice, const StartCandidate& step,
+                                                   std::uint32_t index) {
+  std::vector<WorkerRoom*> changed{choice.room};
   for (const Victim& it : choice.victims) {
     budget_.Stop(it);
-    rooms_.Stop(*choice.room, *it.run);
+    const std::vector<WorkerRoom*> stopped_on = rooms_.Stop(*choice.room, *it.run);
+    changed.insert(changed.end(), stopped_on.begin(), stopped_on.end());
     preemptions_.push_back({choice.room->worker->info.id, it.run->run, {step.step, index}});
   }
-  choice.room->Take(step.step, step.spec());
+  rooms_.Take(*choice.room, step);
   claims_.push_back({{step.step, index}, choice.room->worker->info.id});
+  return changed;
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -40,32 +40,27 @@
 }
 
 // The run as a victim, or nothing if it may not be stopped at all.
-std::optional<Victim> VictimOf(const PlacedRun& run, const PlanRequest& request,
-                               const GuaranteeTable& guarantees) {
-  const JobEntry* job = request.jobs.Find(run.run.task.step.job);
-  const StepSpec* spec = request.jobs.FindStep(run.run.task.step);
-  if (spec == nullptr) {
-    return std::nullopt;
-  }
-  const std::int64_t lost = LostWork(run, *spec, request.now);
+std::optional<Victim> VictimOf(const PlacedRun& run, const JobEntry& job, const StepSpec& spec,
+                               const PlanRequest& request, const GuaranteeTable& guarantees) {
+  const std::int64_t lost = LostWork(run, spec, request.now);
   if (run.priority > kPreemptingPriority) {
-    return Victim{&run, {0, 0, lost}, spec->is_gang, {}, 0};
+    return Victim{&run, {0, 0, lost}, spec.is_gang, {}, 0};
   }
-  const auto team = guarantees.TeamOf(*job);
+  const auto team = guarantees.TeamOf(job);
   if (!team || !guarantees.shares()[*team].MayLoseRunAfter(0)) {
     return std::nullopt;
   }
   const std::int64_t accelerators =
-      spec->per_task.accelerators * (spec->is_gang ? spec->task_count : 1);
+      spec.per_task.accelerators * (spec.is_gang ? spec.task_count : 1);
   const std::int64_t guaranteed = guarantees.shares()[*team].GuaranteedPartOf(accelerators);
-  return Victim{&run, {guaranteed, lost, 0}, spec->is_gang, team, accelerators};
+  return Victim{&run, {guaranteed, lost, 0}, spec.is_gang, team, accelerators};
 }
 
 // Drops runs whose room is not needed after all, the most expensive first.
-void DropUnneeded(std::vector<Victim>& chosen, Resources room, const Resources& needed) {
+void DropUnneeded(std::vector<const Victim*>& chosen, Resources room, const Resources& needed) {
   for (auto it = chosen.end(); it != chosen.begin();) {
     --it;
-    const Resources without = room - it->run->reserved;
+    const Resources without = room - (*it)->run->reserved;
     if (needed.FitsIn(without)) {
       room = without;
       it = chosen.erase(it);
@@ -82,8 +77,12 @@
     if (run.stage == RunStage::kStopping || EndsSoon(run, request.now)) {
       continue;
     }
-    const auto victim = VictimOf(run, request, guarantees);
-    const StepSpec* spec = request.jobs.FindStep(id.task.step);
+    const JobEntry* job = request.jobs.Find(id.task.step.job);
+    const StepSpec* spec = job == nullptr ? nullptr : job->FindStep(id.task.step.step);
+    if (spec == nullptr) {
+      continue;
+    }
+    const auto victim = VictimOf(run, *job, *spec, request, guarantees);
     if (victim && (!spec->runs_until_cancelled || disruptions.Take(run))) {
       victims.push_back(*victim);
     }
@@ -94,7 +93,7 @@
 }
 
 std::optional<VictimSet> FindVictims(const WorkerRoom& room, const StartCandidate& step,
-                                     const ReclaimBudget& budget) {
+                                     const ReclaimBudget& budget, const StopCost* limit) {
   const StepSpec& spec = step.spec();
   const Resources needed = spec.Reserved();
   if (!needed.FitsIn(room.FreeableFor(step)) ||
@@ -102,7 +101,7 @@
     return std::nullopt;
   }
   Resources freed = room.free_later;
-  std::vector<Victim> chosen;
+  std::vector<const Victim*> chosen;
   for (const Victim& it : room.victims) {
     if (needed.FitsIn(freed)) {
       break;
@@ -110,16 +109,21 @@
     if (it.team && !(step.may_reclaim && budget.Allows(it, chosen))) {
       continue;
     }
+    // The last victim chosen is always needed, so that the set costs at least as much.
+    if (limit != nullptr && it.cost >= *limit) {
+      return std::nullopt;
+    }
     freed = freed + it.run->reserved;
-    chosen.push_back(it);
+    chosen.push_back(&it);
   }
   if (!needed.FitsIn(freed)) {
     return std::nullopt;
   }
   DropUnneeded(chosen, freed, needed);
-  VictimSet set{std::move(chosen), {}};
-  for (const Victim& it : set.victims) {
-    set.cost = set.cost + it.cost;
+  VictimSet set;
+  for (const Victim* it : chosen) {
+    set.victims.push_back(*it);
+    set.cost = set.cost + it->cost;
   }
   return set;
 }
--- a/src/workload/job_table.cc
+++ b/src/workload/job_table.cc
@@ -24,9 +24,7 @@
 
 const StepSpec* JobTable::FindStep(const StepId& step) const {
   const JobEntry* job = Find(step.job);
-  const bool is_known =
-      job != nullptr && job->submission && step.step < job->submission->steps.size();
-  return is_known ? &job->submission->steps[step.step] : nullptr;
+  return job == nullptr ? nullptr : job->FindStep(step.step);
 }
 
 std::size_t JobTable::PendingCount(std::string_view queue) const {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -153,7 +153,7 @@
         return near;
       }
     }
-    return ChooseRoom(rooms_.On({}), step, request_);
+    return rooms_.Choose(step);
   }
 
   // Other work is not lost for a result that comes too late.
@@ -170,7 +170,7 @@
       }
       const TaskRecord& task = step.job->Task({step.step, index});
       plan_.starts.push_back(StartOn(*room, step, index, task.run + 1, task.checkpoint));
-      room->Take(step.step, step.spec());
+      rooms_.Take(*room, step);
     }
   }
 
@@ -193,16 +193,12 @@
     const bool is_urgent = step.priority() == kPreemptingPriority;
     const std::string* best = nullptr;
     std::pair<bool, std::int64_t> best_cost;
-    for (const auto& [rack, rooms] : rooms_.racks()) {
-      if (GangFitCount(step, rooms) < static_cast<std::int64_t>(step.task_indexes.size())) {
-        continue;
-      }
-      std::pair<bool, std::int64_t> cost{is_urgent != rooms.front()->is_reserved, 0};
-      for (const WorkerRoom* it : rooms) {
-        cost.second += it->free.accelerators;
-      }
-      if (best == nullptr || cost < best_cost) {
-        best = &rack;
+    for (const auto& [name, rack] : rooms_.racks()) {
+      const std::pair cost{is_urgent != rack.rooms.front()->is_reserved, rack.free_accelerators};
+      const bool may_be_best = best == nullptr || cost < best_cost;
+      if (may_be_best && step.Accelerators() <= rack.free_accelerators &&
+          HasRoomForGang(step, rack.rooms)) {
+        best = &name;
         best_cost = cost;
       }
     }
@@ -212,37 +208,42 @@
   // Whether any rack could hold all members if nothing else ran there.
   bool CanAnyRackHold(const StartCandidate& step) const {
     return std::any_of(rooms_.racks().begin(), rooms_.racks().end(), [&](const auto& rack) {
-      std::int64_t fits = 0;
-      for (const WorkerRoom* it : rack.second) {
-        const bool is_eligible = IsEligible(*it->worker, step);
-        fits += is_eligible ? FitCount(*it, it->worker->info.capacity, step) : 0;
-      }
-      return fits >= static_cast<std::int64_t>(step.task_indexes.size());
+      return AreEnough(step, rack.second.rooms, [&](const WorkerRoom& it) {
+        return IsEligible(*it.worker, step) ? FitCount(it, it.worker->info.capacity, step) : 0;
+      });
+    });
+  }
+
+  bool HasRoomForGang(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) const {
+    return AreEnough(step, rooms, [&](const WorkerRoom& it) {
+      const std::int64_t count = FitCount(it, it.free, step);
+      return count > 0 && IsAllowed(it, step, request_) ? count : 0;
     });
   }
 
-  std::int64_t GangFitCount(const StartCandidate& step,
-                            const std::vector<WorkerRoom*>& rooms) const {
-    std::int64_t fits = 0;
-    for (const WorkerRoom* it : rooms) {
-      const std::int64_t count = FitCount(*it, it->free, step);
-      fits += count > 0 && IsAllowed(*it, step, request_) ? count : 0;
+  // Whether rooms hold all members of a gang, by the count for each room.
+  template <class Count>
+  static bool AreEnough(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
+                        Count count) {
+    auto missing = static_cast<std::int64_t>(step.task_indexes.size());
+    for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
+      missing -= count(**it);
     }
-    return fits;
+    return missing <= 0;
   }
 
   // Places a whole gang on the workers of a rack, or nothing.
   bool PlaceGangOn(const StartCandidate& step, const std::string& rack) {
     const std::vector<WorkerRoom*>& rooms = rooms_.On(rack);
-    if (GangFitCount(step, rooms) < static_cast<std::int64_t>(step.task_indexes.size())) {
+    if (!HasRoomForGang(step, rooms)) {
       return false;
     }
     const std::string checkpoint = GangCheckpoint(step);
     const std::uint64_t run = NextGangRun(step);
     for (const std::uint32_t index : step.task_indexes) {
-      WorkerRoom* room = ChooseRoom(rooms, step, request_);
+      WorkerRoom* room = rack.empty() ? rooms_.Choose(step) : ChooseRoom(rooms, step, request_);
       plan_.starts.push_back(StartOn(*room, step, index, run, checkpoint));
-      room->Take(step.step, step.spec());
+      rooms_.Take(*room, step);
     }
     return true;
   }
