Replace an owner on a smaller instance that is alive

Ruled out: a longer delay of smaller instances, which lengthens each change of owner where no larger one is left; a resignation of the smaller owner when it reads the announcement of a larger one, which misses those that were cut off.

Change: an instance that knows the owner to be smaller claims once the owner has been in office for 2 s, spread over 4 s by rank so that most see the first claim. Owners of the same or an unknown size are left alone.

--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -35,6 +36,12 @@
   static constexpr Milliseconds kSmallerInstanceDelay{400};
   /// Time in which all instances of a new system report their size.
   static constexpr Milliseconds kInitialClaimDelay{500};
+  /// How long a smaller owner is left in office: long enough to adopt the workers, so that owners
+  /// do not follow each other without a plan in between.
+  static constexpr Milliseconds kSmallerOwnerTerm{2'000};
+  /// The claims of larger instances are spread over this time. Several times the pause between
+  /// reads, so that most of them see the first claim before they make their own.
+  static constexpr Milliseconds kMaxReplaceDelay{4'000};
 
   /// @param rank 0 to 1; the share of kMaxClaimDelay that this instance waits
   /// @param cpu_millicores of this instance; 0 where they are not known
@@ -87,12 +94,20 @@
   static constexpr std::uint64_t kNonceRange = 1'048'576;
 
   const std::string instance_;
+  // Whether the owner is known to be alive and smaller than this instance.
+  [[nodiscard]] bool HasSmallerOwner() const;
+
   const Milliseconds claim_delay_;
+  const Milliseconds replace_delay_;
   const std::int64_t cpu_millicores_;
+  // Sizes of the instances that are known, this one included, in thousandths of a core.
+  std::map<std::string, std::int64_t> sizes_;
   bool has_larger_peer_ = false;
   std::optional<SteadyTime> first_read_;
   std::optional<OwnerRecord> owner_;
   std::optional<SteadyTime> last_read_;
+  // First record of the owner.
+  SteadyTime owner_since_;
   // Last record of the owner, or the end of the last outage.
   SteadyTime last_heartbeat_;
   bool is_readable_ = false;
--- a/src/workload/owner_election.cc
+++ b/src/workload/owner_election.cc
@@ -1,5 +1,6 @@
 #include "clementineloom/workload/owner_election.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -10,12 +11,15 @@
 OwnerElection::OwnerElection(std::string instance, double rank, std::int64_t cpu_millicores)
     : instance_(std::move(instance)),
       claim_delay_(static_cast<std::int64_t>(rank * static_cast<double>(kMaxClaimDelay.count()))),
+      replace_delay_(
+          static_cast<std::int64_t>(rank * static_cast<double>(kMaxReplaceDelay.count()))),
       cpu_millicores_(cpu_millicores) {
   assert(rank >= 0 && rank <= 1);
 }
 
 void OwnerElection::OnOwner(const OwnerRecord& owner, SteadyTime now) {
   if (!owner_ || owner.epoch >= owner_->epoch) {
+    owner_since_ = owner_ && owner.epoch == owner_->epoch ? owner_since_ : now;
     owner_ = owner;
     last_heartbeat_ = now;
   }
@@ -28,6 +32,7 @@
 }
 
 void OwnerElection::OnInstance(const InstanceRecord& instance) {
+  sizes_[instance.instance] = instance.cpu_millicores;
   const bool is_larger = cpu_millicores_ > 0 && instance.cpu_millicores > cpu_millicores_;
   has_larger_peer_ = has_larger_peer_ || (is_larger && instance.instance != instance_);
 }
@@ -55,6 +60,14 @@
   return now >= EarliestClaim(now);
 }
 
+bool OwnerElection::HasSmallerOwner() const {
+  if (!owner_ || owner_->phase != OwnerPhase::kActive || owner_->instance == instance_) {
+    return false;
+  }
+  const auto size = sizes_.find(owner_->instance);
+  return size != sizes_.end() && size->second > 0 && size->second < cpu_millicores_;
+}
+
 SteadyTime OwnerElection::EarliestClaim(SteadyTime now) const {
   const Milliseconds rest_delay =
       handed_over_at_ ? OwnerHandOver::ClaimDelay(
@@ -69,7 +82,11 @@
   const bool is_undisputed = is_own && owner_->phase == OwnerPhase::kActive;
   const Milliseconds spread = is_undisputed ? Milliseconds(0) : claim_delay_;
   const Milliseconds peer_delay = has_larger_peer_ ? kSmallerInstanceDelay : Milliseconds(0);
-  return last_heartbeat_ + timeout + spread + peer_delay + rest_delay;
+  const SteadyTime once_silent = last_heartbeat_ + timeout + spread + peer_delay + rest_delay;
+  if (is_resting || !HasSmallerOwner()) {
+    return once_silent;
+  }
+  return std::min(once_silent, owner_since_ + kSmallerOwnerTerm + replace_delay_);
 }
 
 std::uint64_t OwnerElection::NextEpoch(std::uint64_t nonce) const {
--- a/tests/workload/owner_election_test.cc
+++ b/tests/workload/owner_election_test.cc
@@ -74,6 +74,37 @@
   EXPECT_TRUE(small.MayClaim(now_));
 }
 
+// Guards against a small owner that keeps a fleet for which its plans are too slow, after it
+// claimed while the larger instances could not.
+TEST_F(OwnerElectionTest, MayClaim_FromASmallerOwnerThatIsAlive_IsTrueAfterItsTerm) {
+  OwnerElection large("large", 0.0, 500);
+  large.OnInstance({"small", "10.0.0.1:80", 120});
+  large.OnRead(now_);
+  large.OnOwner({1, "small", OwnerPhase::kActive}, now_);
+  const SteadyTime term_ends_at = now_ + OwnerElection::kSmallerOwnerTerm;
+  for (; now_ < term_ends_at; now_ += Milliseconds(100)) {
+    large.OnRead(now_);
+    large.OnOwner({1, "small", OwnerPhase::kActive}, now_);
+    EXPECT_FALSE(large.MayClaim(now_));
+  }
+  large.OnRead(now_);
+  large.OnOwner({1, "small", OwnerPhase::kActive}, now_);
+  EXPECT_TRUE(large.MayClaim(now_));
+}
+
+// Guards against owners of the same size, or of one that is not known, that replace each other.
+TEST_F(OwnerElectionTest, MayClaim_FromALivingOwnerThatIsNotKnownToBeSmaller_IsFalse) {
+  for (const std::int64_t size : {0, 500, 1'000}) {
+    OwnerElection election("me", 0.0, 500);
+    election.OnInstance({"other", "10.0.0.1:80", size});
+    for (int n = 0; n < 100; ++n, now_ += Milliseconds(100)) {
+      election.OnRead(now_);
+      election.OnOwner({1, "other", OwnerPhase::kActive}, now_);
+      EXPECT_FALSE(election.MayClaim(now_)) << size;
+    }
+  }
+}
+
 // Guards against a claim at the first start of a system, before the instances know each other's
 // sizes.
 TEST_F(OwnerElectionTest, MayClaim_AtTheFirstStart_WaitsForTheSizesOfPeers) {
