Keep no room for urgent work that no longer arrives

Cause: the forecast followed what urgent work held or waited for, up to 10 s after it had ended.

Ruled out: a reserve that ends where less than half of the fleet is in use; processors and accelerators give different answers.

The plan says when the newest waiting urgent step was due.

--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -4,12 +4,12 @@
 #include <optional>
 #include <vector>
 
-#include "clementineloom/workload/accelerators_by_service.h"
 #include "clementineloom/workload/advice_question.h"
 #include "clementineloom/workload/guarantee_wait.h"
 #include "clementineloom/workload/planned_start.h"
 #include "clementineloom/workload/preemption.h"
 #include "clementineloom/workload/room_claim.h"
+#include "clementineloom/workload/urgent_load.h"
 
 namespace clementineloom::workload {
 
@@ -21,8 +21,8 @@
   std::vector<RoomClaim> claims;
   /// Urgent steps within their guarantees that have waited for long.
   std::vector<GuaranteeWait> waits;
-  /// Accelerators that urgent work holds, or waits for and can still use in time.
-  AcceleratorsByService urgent_demand;
+  /// The urgent work of each service, from which the next plan's reserve is forecast.
+  UrgentLoads urgent_loads;
   /// Question for the most urgent step that lacks approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -73,7 +73,7 @@
         UrgentReserve()};
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
-    NoteUrgentDemand(request.now, plan.urgent_demand);
+    NoteUrgentLoads(request.now, plan.urgent_loads);
     LogNewWaits(plan.waits);
     if (step_waits_.IsDue(request.now)) {
       step_waits_.Check(request, SilentWorkers());
@@ -97,9 +97,9 @@
     return reserve;
   }
 
-  void NoteUrgentDemand(workload::SteadyTime now, const workload::AcceleratorsByService& demand) {
-    for (const auto& [service, accelerators] : demand) {
-      urgent_demand_[service].Note(now, accelerators);
+  void NoteUrgentLoads(workload::SteadyTime now, const workload::UrgentLoads& loads) {
+    for (const auto& [service, load] : loads) {
+      urgent_demand_[service].Note(now, load);
     }
   }
 
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -65,7 +65,7 @@
   }
 
   StartPlan TakePlan(std::span<const StartCandidate> steps) {
-    plan_.urgent_demand = UrgentDemand(steps);
+    plan_.urgent_loads = LoadsOf(steps);
     plan_.preemptions = claims_.preemptions();
     plan_.claims = claims_.claims();
     return std::move(plan_);
@@ -94,18 +94,19 @@
     }
   }
 
-  // What urgent runs hold, and what urgent steps wait for that can still use it.
-  AcceleratorsByService UrgentDemand(std::span<const StartCandidate> steps) const {
-    AcceleratorsByService demand;
+  UrgentLoads LoadsOf(std::span<const StartCandidate> steps) const {
+    UrgentLoads loads;
     for (const WorkerRoom* it : rooms_.On({})) {
-      demand[it->worker->info.service] += it->urgent_accelerators;
+      loads[it->worker->info.service].accelerators += it->urgent_accelerators;
     }
     for (const StartCandidate& it : steps) {
-      if (it.priority() == kPreemptingPriority && it.standing != ObjectiveStanding::kMissed) {
-        demand[it.job->submission->queue.service] += it.Accelerators();
+      if (it.priority() == kPreemptingPriority) {
+        UrgentLoad& load = loads[it.job->submission->queue.service];
+        load.newest_due_at_ms = std::max(load.newest_due_at_ms, it.due_at_ms);
+        load.accelerators += it.standing != ObjectiveStanding::kMissed ? it.Accelerators() : 0;
       }
     }
-    return demand;
+    return loads;
   }
 
   void AddWait(const StartCandidate& step) {
--- a/tests/workload/urgent_reserve_test.cc
+++ b/tests/workload/urgent_reserve_test.cc
@@ -23,16 +23,20 @@
       AddWorker(rack + "-b", rack);
     }
   }
+  static constexpr std::int64_t kFirstDueMs = 100'000;
+
   void SubmitUrgentGang() {
     StepSpec gang = Step(2, 8);
     gang.is_gang = true;
     gang.prefers_one_rack = true;
-    Submit("urgent-" + std::to_string(++urgent_jobs_), gang, kPreemptingPriority, 100'000);
+    Submit("urgent-" + std::to_string(urgent_jobs_), gang, kPreemptingPriority,
+           kFirstDueMs + urgent_jobs_);
+    ++urgent_jobs_;
   }
   StartPlan PlanWithReserve(std::int64_t accelerators) {
     const AcceleratorsByService reserve{{"inspect", accelerators}};
     return PlanStarts(
-        {jobs_, workers_, evacuated_, advice_, claims_, now_, 100'000, teams_, reserve});
+        {jobs_, workers_, evacuated_, advice_, claims_, now_, kFirstDueMs, teams_, reserve});
   }
   std::int64_t AcceleratorsInUse() const {
     std::int64_t used = 0;
@@ -70,8 +74,8 @@
       SubmitUrgentGang();
     }
     const StartPlan plan = PlanWithReserve(demand.Forecast(now_));
-    for (const auto& [service, accelerators] : plan.urgent_demand) {
-      demand.Note(now_, accelerators);
+    for (const auto& [service, load] : plan.urgent_loads) {
+      demand.Note(now_, load);
     }
     claims_ = plan.claims;
     ApplyStarts(plan);
