Record the checkpoints of a worker that falls silent, for the next owner

Cause: an owner knows the checkpoints of running tasks from the lists of their workers and records them with the ends.

Ruled out: a record of each checkpoint, one a second and task, read by all instances; and asking the worker, which is lost.

Change: at the first poll without an answer the owner records the checkpoints of the runs on that worker that differ from the stored ones. Members of a gang are left out, because all have to resume from the same checkpoint.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -253,6 +253,7 @@
     if (link.failures++ == 0) {
       logging::LogEvent(logging::LogLevel::kWarning, "worker_silent",
                         {{"worker", id}, {"runs", core_.workers[id].runs.size()}});
+      RecordCheckpoints(id);
     }
     core_.BackOff(id, OwnerTiming::kFailureBackoff);
     const bool is_urgent = !core_.workers[id].runs.empty() && link.failures < kUrgentPolls;
@@ -260,6 +261,30 @@
                      core_.Guard([this, id] { RetryPoll(id); }));
   }
 
+  // Records the progress of the runs on a worker that has stopped answering. Should it be lost, a
+  // later owner can learn their checkpoints from nobody else. Members of a gang are left out: all
+  // of them have to resume from the same checkpoint.
+  void RecordCheckpoints(const std::string& id) {
+    Records records;
+    for (const auto& [run, placed] : core_.workers[id].runs) {
+      const workload::JobEntry* job = core_.jobs.Find(run.task.step.job);
+      const workload::StepSpec* spec = job == nullptr ? nullptr : job->FindStep(run.task.step.step);
+      if (spec == nullptr || spec->is_gang || !job->IsOpen() || placed.checkpoint.empty()) {
+        continue;
+      }
+      workload::TaskRecord record = job->Task(run.task);
+      const bool is_current = record.phase == workload::TaskPhase::kPlaced &&
+                              record.run == run.run && record.worker == id;
+      if (is_current && record.checkpoint != placed.checkpoint) {
+        record.checkpoint = placed.checkpoint;
+        records.push_back(workload::TaskSet{run.task, std::move(record)});
+      }
+    }
+    if (!records.empty()) {
+      core_.Append(records, [] {});
+    }
+  }
+
   // Polls again whether or not ends of the worker are being recorded.
   void RetryPoll(const std::string& id) {
     Poll(id);
