--- a/tests/scripts/lint_script_test.cc
+++ b/tests/scripts/lint_script_test.cc
@@ -48,6 +48,15 @@
   // Runs the script with arguments and keeps its output. Returns its wait status.
   int Run(const std::string& arguments) { return Shell("scripts/check_lint " + arguments); }
 
+  // Runs the script with a cache of verdicts and a compile command for one source.
+  int RunWithCache() {
+    const std::string source = (root_ / "src/net/direct.cc").string();
+    WriteFile("build/check/compile_commands.json",
+              "[\n{\n  \"directory\": \".\",\n  \"command\": \"c++ -I" + (root_ / "src").string() +
+                  " -o direct.o -c " + source + "\",\n  \"file\": \"" + source + "\"\n}\n]\n");
+    return Shell("CLEMENTINELOOM_LINT_CACHE=$PWD/cache scripts/check_lint");
+  }
+
   [[nodiscard]] bool HasRead(const std::string& source) const {
     return output_.find("read " + source + "\n") != std::string::npos;
   }
@@ -116,6 +125,37 @@
   EXPECT_TRUE(HasRead("platform/other.cc")) << output_;
 }
 
+// Guards against a run that reads again what has not changed.
+TEST_F(LintScriptTest, Run_WithAVerdictForTheSameContent_DoesNotReadTheSource) {
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  EXPECT_TRUE(HasRead("src/net/direct.cc")) << output_;
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  EXPECT_FALSE(HasRead("src/net/direct.cc")) << output_;
+  EXPECT_TRUE(HasRead("platform/other.cc")) << output_;
+}
+
+// Guards against a verdict that outlives a change of a header, of a comment that silences a
+// finding, or of the rules.
+TEST_F(LintScriptTest, Run_AfterAChangeOfWhatIsRead_ReadsTheSourceAgain) {
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  WriteFile("src/net/inner.h", "#pragma once\n#define CHANGED 1\n");
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  EXPECT_TRUE(HasRead("src/net/direct.cc")) << output_;
+  WriteFile("src/net/direct.cc", "#include \"net/inner.h\"\n// Changed.\n");
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  EXPECT_TRUE(HasRead("src/net/direct.cc")) << output_;
+  WriteFile(".clang-tidy", "Checks: '*'\n");
+  EXPECT_EQ(RunWithCache(), 0) << output_;
+  EXPECT_TRUE(HasRead("src/net/direct.cc")) << output_;
+}
+
+// Guards against a finding that is reported once only.
+TEST_F(LintScriptTest, Run_WithFindingTwice_FailsTwice) {
+  WriteFile("src/net/direct.cc", "// finding\n");
+  EXPECT_NE(RunWithCache(), 0) << output_;
+  EXPECT_NE(RunWithCache(), 0) << output_;
+}
+
 // Guards against a mistyped commit that passes because no source differs from it.
 TEST_F(LintScriptTest, Run_WithUnknownBase_Fails) {
   EXPECT_NE(Run("--changed no-such-commit"), 0) << output_;
