Count reserved workers in step_waits, and the rooms once for all its lines

Cause: a worker that is kept for urgent work was counted as unapproved. Each of up to 20 lines a second counted the rooms of all workers again.

Change: a count of its own, reserved, in the line and in the trace; the lines of one check share one table of rooms. A trace of older lines leaves the count out.

--- a/include/clementineloom/workload/step_waits.h
+++ b/include/clementineloom/workload/step_waits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,12 @@
 [[nodiscard]] std::vector<StepId> WaitingSteps(const PlanRequest& request,
                                                const std::set<std::string>& silent_workers);
 
+/// @brief Describes what several steps wait for, in their order.
+/// Complexity: O(runs of all workers) for each step. Precondition: they are among WaitingSteps().
+/// Thread safety: a pure function.
+[[nodiscard]] std::vector<StepWait> DescribeStepWaits(const PlanRequest& request,
+                                                      std::span<const StepId> steps);
+
 /// @brief Describes what a step waits for. Complexity: O(runs of all workers).
 /// Precondition: the step is one of WaitingSteps(). Thread safety: a pure function.
 [[nodiscard]] StepWait DescribeStepWait(const PlanRequest& request, const StepId& step);
--- a/include/clementineloom/workload/worker_counts.h
+++ b/include/clementineloom/workload/worker_counts.h
@@ -19,6 +19,8 @@
   std::uint32_t full = 0;
   /// Not approved by the advice service.
   std::uint32_t unapproved = 0;
+  /// Kept for urgent work that is about to arrive.
+  std::uint32_t reserved = 0;
   /// Nothing but claims or the wait for a rack keeps the step from them.
   std::uint32_t usable = 0;
 
--- a/src/ctl/trace/line_cause.cc
+++ b/src/ctl/trace/line_cause.cc
@@ -129,7 +129,7 @@
 
 // What keeps the tasks of a step from starting: a run that holds room, or the workers' conditions.
 std::string StepWaitText(const LogLine& line) {
-  constexpr std::array<std::pair<std::string_view, std::string_view>, 8> kWorkers{
+  constexpr std::array<std::pair<std::string_view, std::string_view>, 9> kWorkers{
       {{"without_label", "without the label"},
        {"leaving", "unlisted or draining"},
        {"unattached", "not heard from"},
@@ -137,6 +137,7 @@
        {"evacuated", "evacuated"},
        {"full", "full"},
        {"unapproved", "not approved"},
+       {"reserved", "kept for urgent work"},
        {"usable", "usable"}}};
   std::string text = "no task of step " + Get(line, "step") + " was at work for " +
                      Get(line, "waited_ms") + " ms: " + Get(line, "open") + " not done";
@@ -147,7 +148,8 @@
   }
   text += "; workers:";
   for (const auto& [key, condition] : kWorkers) {
-    if (line.Field(key) != "0") {
+    // Lines of earlier versions lack some of the counts.
+    if (const auto count = line.Field(key); !count.empty() && count != "0") {
       text += " " + Get(line, key) + " " + std::string(condition) + ",";
     }
   }
--- a/src/entry/owner/step_wait_log.h
+++ b/src/entry/owner/step_wait_log.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "clementineloom/workload/step_waits.h"
 #include "codec/task_name.h"
@@ -29,18 +30,23 @@
   void Check(const workload::PlanRequest& request, const std::set<std::string>& silent_workers) {
     checked_at_ = request.now;
     std::map<workload::StepId, Wait> waits;
+    std::vector<workload::StepId> due;
     for (const workload::StepId& it : workload::WaitingSteps(request, silent_workers)) {
       const auto known = waits_.find(it);
       Wait wait = known == waits_.end() ? Wait{request.now, false} : known->second;
       const bool is_long = request.now - wait.since >= kLongWait;
       if (is_long && !wait.is_logged && budget_.Allow(request.now)) {
-        Log(workload::DescribeStepWait(request, it),
-            std::chrono::duration_cast<workload::Milliseconds>(request.now - wait.since));
+        due.push_back(it);
         wait.is_logged = true;
       }
       waits.emplace(it, wait);
     }
     waits_ = std::move(waits);
+    // Together, because the rooms of all workers are counted for the first of them.
+    for (const workload::StepWait& it : workload::DescribeStepWaits(request, due)) {
+      const auto waited = request.now - waits_.at(it.step).since;
+      Log(it, std::chrono::duration_cast<workload::Milliseconds>(waited));
+    }
   }
 
  private:
@@ -92,6 +98,7 @@
                        {"evacuated", workers.evacuated},
                        {"full", workers.full},
                        {"unapproved", workers.unapproved},
+                       {"reserved", workers.reserved},
                        {"usable", workers.usable},
                        {"claims", wait.claims},
                        {"left_out", budget_.TakeLeftOut()}});
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -77,6 +77,9 @@
   if (!detail::HasRoom(*room, step)) {
     return counts.full;
   }
+  if (room->is_reserved && !detail::MayUseReserve(step)) {
+    return counts.reserved;
+  }
   return detail::IsAllowed(*room, step, request) ? counts.usable : counts.unapproved;
 }
 
@@ -99,6 +102,23 @@
   }
 }
 
+StepWait DescribeWait(const PlanRequest& request, const StepId& step,
+                      const detail::RoomTable& rooms) {
+  const JobEntry& job = *request.jobs.Find(step.job);
+  const detail::StartCandidate candidate{&job, step, {}, job.submission->DueAtMs(step.occurrence)};
+  StepWait wait;
+  wait.step = step;
+  wait.needed = candidate.spec().Reserved();
+  wait.claims = request.claims.size();
+  CountTasks(job, request, wait);
+  for (const auto& [id, worker] : request.workers) {
+    if (worker.info.service == job.submission->queue.service) {
+      ++CounterOf(worker, candidate, request, rooms, wait.workers);
+    }
+  }
+  return wait;
+}
+
 }  // namespace
 
 std::vector<StepId> WaitingSteps(const PlanRequest& request,
@@ -113,21 +133,20 @@
   return waiting;
 }
 
-StepWait DescribeStepWait(const PlanRequest& request, const StepId& step) {
-  const JobEntry& job = *request.jobs.Find(step.job);
-  const detail::StartCandidate candidate{&job, step, {}, job.submission->DueAtMs(step.occurrence)};
-  StepWait wait;
-  wait.step = step;
-  wait.needed = candidate.spec().Reserved();
-  wait.claims = request.claims.size();
-  CountTasks(job, request, wait);
+std::vector<StepWait> DescribeStepWaits(const PlanRequest& request, std::span<const StepId> steps) {
+  std::vector<StepWait> waits;
+  if (steps.empty()) {
+    return waits;
+  }
   const detail::RoomTable rooms(request);
-  for (const auto& [id, worker] : request.workers) {
-    if (worker.info.service == job.submission->queue.service) {
-      ++CounterOf(worker, candidate, request, rooms, wait.workers);
-    }
+  for (const StepId& it : steps) {
+    waits.push_back(DescribeWait(request, it, rooms));
   }
-  return wait;
+  return waits;
+}
+
+StepWait DescribeStepWait(const PlanRequest& request, const StepId& step) {
+  return DescribeStepWaits(request, std::span(&step, 1)).front();
 }
 
 }  // namespace clementineloom::workload
