Reject gangs wider than all free room without a look at the workers

Cause: a waiting gang that may run on several racks counted the room of every worker in each plan.

Change: the total of free accelerators is kept with the rooms.

--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -26,6 +26,9 @@
   [[nodiscard]] const std::vector<WorkerRoom*>& On(const std::string& rack) const;
   [[nodiscard]] const std::map<std::string, RackRoom>& racks() const { return racks_; }
 
+  /// @brief Free accelerators of all rooms; those on which more is claimed than is free count as 0.
+  [[nodiscard]] std::int64_t free_accelerators() const { return free_accelerators_; }
+
   /// @brief The room of a worker, or null if it takes no runs.
   [[nodiscard]] WorkerRoom* Find(const std::string& worker) const;
 
@@ -69,6 +72,7 @@
   RoomIndex index_;
   std::map<std::string, RackRoom> racks_;
   std::map<GangKey, std::vector<std::pair<WorkerRoom*, const PlacedRun*>>> gangs_;
+  std::int64_t free_accelerators_ = 0;
   bool has_victims_ = false;
 };
 
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -56,13 +56,17 @@
 }
 
 void RoomTable::Count(WorkerRoom& room) {
+  const auto free = std::max<std::int64_t>(room.free.accelerators, 0);
   index_.Add(room);
-  room.rack->free_accelerators += std::max<std::int64_t>(room.free.accelerators, 0);
+  room.rack->free_accelerators += free;
+  free_accelerators_ += free;
 }
 
 void RoomTable::Discount(WorkerRoom& room) {
+  const auto free = std::max<std::int64_t>(room.free.accelerators, 0);
   index_.Remove(room);
-  room.rack->free_accelerators -= std::max<std::int64_t>(room.free.accelerators, 0);
+  room.rack->free_accelerators -= free;
+  free_accelerators_ -= free;
 }
 
 void RoomTable::Reserve(const std::string& service, std::int64_t accelerators) {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -236,7 +236,7 @@
   // Places a whole gang on the workers of a rack, or nothing.
   bool PlaceGangOn(const StartCandidate& step, const std::string& rack) {
     const std::vector<WorkerRoom*>& rooms = rooms_.On(rack);
-    if (!HasRoomForGang(step, rooms)) {
+    if (step.Accelerators() > rooms_.free_accelerators() || !HasRoomForGang(step, rooms)) {
       return false;
     }
     const std::string checkpoint = GangCheckpoint(step);
