--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -94,6 +94,7 @@
     }
   }
 
+  // What urgent runs hold, and what urgent steps wait for, by service.
   UrgentLoads LoadsOf(std::span<const StartCandidate> steps) const {
     UrgentLoads loads;
     for (const WorkerRoom* it : rooms_.On({})) {
@@ -195,6 +196,8 @@
     const std::string* best = nullptr;
     std::pair<bool, std::int64_t> best_cost;
     for (const auto& [name, rack] : rooms_.racks()) {
+      // All but one of the reserved racks are reserved whole, so the first room stands for its
+      // rack.
       const std::pair cost{is_urgent != rack.rooms.front()->is_reserved, rack.free_accelerators};
       const bool may_be_best = best == nullptr || cost < best_cost;
       if (may_be_best && step.Accelerators() <= rack.free_accelerators &&
