--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -93,10 +93,10 @@
   // The lower bits of an epoch are the nonce of its instance.
   static constexpr std::uint64_t kNonceRange = 1'048'576;
 
-  const std::string instance_;
   // Whether the owner is known to be alive and smaller than this instance.
   [[nodiscard]] bool HasSmallerOwner() const;
 
+  const std::string instance_;
   const Milliseconds claim_delay_;
   const Milliseconds replace_delay_;
   const std::int64_t cpu_millicores_;
