Review: a member of a gang that is done starts again

Cause: the owner repeats an order to start that had no answer without a look at the task's record, and leaves the other members of a gang that is done alone.

--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -23,6 +23,10 @@
  public:
   void Enter(const std::string& gang, const std::string& task) {
     const std::scoped_lock lock(mutex_);
+    if (done_.erase(gang) > 0) {
+      // A member that starts after the end finds none of the others.
+      present_[gang].clear();
+    }
     present_[gang].insert(task);
   }
   // A member has ended otherwise than done.
@@ -71,7 +75,7 @@
 };
 
 // A worker of the platform, as PROTOCOL.md describes it. The text of a job's spec tells how its
-// tasks behave: "work MS" or "work MS gang SIZE".
+// tasks behave: "work MS" for all, "gang SIZE" if step 0 is a gang, "then MS" for later steps.
 class Worker {
  public:
   Worker(WorkerFacts facts, Store& store, Gangs& gangs, Record& record)
@@ -101,6 +105,44 @@
     changed_.notify_all();
   }
 
+  // What it sends is lost while this is set; what is sent to it arrives.
+  void SetMute(bool is_mute) {
+    is_mute_ = is_mute;
+    record_.Line(id_ + (is_mute ? " is cut off: its answers are lost" : " is no longer cut off"));
+  }
+
+  // Crashes, stays without power for a time, and starts again under its id and at its address, as a
+  // new incarnation of the given kind.
+  void Crash(std::int64_t dark_ms, const std::string& kind) {
+    {
+      const std::scoped_lock lock(mutex_);
+      is_away_ = true;
+      runs_.clear();
+      record_.Line(id_ + " of kind " + facts_.kind + " crashes");
+      changed_.notify_all();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(dark_ms));
+    const std::scoped_lock lock(mutex_);
+    over_.clear();
+    ends_.clear();
+    last_end_ = 0;
+    token_ = 0;
+    lease_until_ = 0;
+    sequence_ = 0;
+    born_ = UnixMs();
+    began_at_ = SteadyMs();
+    facts_.kind = kind;
+    is_away_ = false;
+    next_beat_ = 0;
+    record_.Line(id_ + " starts again as kind " + kind);
+  }
+
+  // The starts that it has carried out as a worker of a kind.
+  int StartsAs(const std::string& kind) {
+    const std::scoped_lock lock(mutex_);
+    return starts_as_[kind];
+  }
+
   // How many starts it has carried out.
   int starts() {
     const std::scoped_lock lock(mutex_);
@@ -151,7 +193,6 @@
 
   // Lets time pass for the runs, and writes the entry.
   void Work() {
-    std::int64_t next_beat = 0;
     while (true) {
       if (is_dark_) {
         // Its entry goes after three heartbeats of silence.
@@ -160,12 +201,12 @@
         record_.Line(id_ + " has no entry any more");
         return;
       }
-      if (SteadyMs() >= next_beat) {
-        next_beat = SteadyMs() + kBeatMs;
-        Beat();
-      }
-      {
+      if (!is_away_) {
         const std::scoped_lock lock(mutex_);
+        if (SteadyMs() >= next_beat_ && !is_mute_) {
+          next_beat_ = SteadyMs() + kBeatMs;
+          Beat();
+        }
         const auto runs = runs_;
         for (const auto& [task, run] : runs) {
           Advance(task);
@@ -209,7 +250,8 @@
     if (run.gang_size > 0) {
       how == "done" ? gangs_.Complete(run.gang) : gangs_.Break(run.gang);
     }
-    record_.Line(id_ + " ended " + task + " run " + std::to_string(run.number) + " " + how);
+    record_.Line(id_ + " ended " + task + " run " + std::to_string(run.number) + " " + how +
+                 ", its end " + std::to_string(last_end_));
     changed_.notify_all();
   }
 
@@ -224,13 +266,19 @@
   }
 
   Answer Handle(const Request& request) {
-    if (is_dark_) {
+    if (is_dark_ || is_away_) {
       return {0, {}, true};
     }
     if (request["X-Clementineloom-Target-Instance"] != id_) {
       return {421, "{}"};
     }
     const json::object body = json::parse(request.body()).as_object();
+    Answer answer = Carry(request, body);
+    answer.is_silent = answer.is_silent || is_mute_;
+    return answer;
+  }
+
+  Answer Carry(const Request& request, const json::object& body) {
     std::unique_lock lock(mutex_);
     if (Unsigned(body, "fencingToken") < token_) {
       return Json(409, {{"reason", "fence"}});
@@ -272,21 +320,25 @@
     run.arrived_at = SteadyMs();
     const std::string spec(body.at("spec").as_string());
     std::istringstream in(spec);
+    const std::string step = task.substr(0, task.rfind('.'));
+    const bool is_first = step.ends_with(".0");
     for (std::string word; in >> word;) {
-      if (word == "work") {
+      if (word == "work" || (word == "then" && !is_first)) {
         in >> run.work_ms;
-      } else if (word == "gang") {
+      } else if (word == "gang" && is_first) {
         in >> run.gang_size;
       }
     }
-    run.gang = task.substr(0, task.rfind('.')) + " run " + std::to_string(number);
+    run.gang = step + " run " + std::to_string(number);
     if (run.gang_size > 0) {
       gangs_.Enter(run.gang, task);
     }
     runs_[task] = run;
     ++starts_;
-    record_.Line(id_ + " started " + task + " run " + std::to_string(number) + " spec '" + spec +
-                 "' token " + std::to_string(token_));
+    ++starts_as_[facts_.kind];
+    const std::string kind = facts_.kind;
+    record_.Line(id_ + " of kind " + kind + " started " + task + " run " + std::to_string(number) +
+                 " spec '" + spec + "' token " + std::to_string(token_));
     return Json(200, {});
   }
 
@@ -305,11 +357,14 @@
   Answer Hold(const json::object& body, std::unique_lock<std::mutex>& lock) {
     Extend(body);
     const std::uint64_t ack = Unsigned(body, "ackPosition");
-    std::erase_if(ends_, [ack](const End& it) { return it.number <= ack; });
+    if (std::erase_if(ends_, [ack](const End& it) { return it.number <= ack; }) > 0) {
+      record_.Line(id_ + " is told that its ends up to " + std::to_string(ack) +
+                   " are taken note of");
+    }
     const auto until =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(Unsigned(body, "waitMs"));
-    changed_.wait_until(lock, until, [this] { return !ends_.empty() || is_dark_; });
-    if (is_dark_) {
+    changed_.wait_until(lock, until, [this] { return !ends_.empty() || is_dark_ || is_away_; });
+    if (is_dark_ || is_away_) {
       return {0, {}, true};
     }
     json::array running;
@@ -325,13 +380,13 @@
     return Json(200, {{"running", std::move(running)}, {"ended", std::move(ended)}});
   }
 
-  const WorkerFacts facts_;
+  WorkerFacts facts_;
   const std::string id_;
   Store& store_;
   Gangs& gangs_;
   Record& record_;
-  const std::int64_t born_;
-  const std::int64_t began_at_;
+  std::int64_t born_;
+  std::int64_t began_at_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Run> runs_;
@@ -342,8 +397,12 @@
   std::int64_t lease_until_ = 0;
   std::uint64_t sequence_ = 0;
   int starts_ = 0;
+  std::map<std::string, int> starts_as_;
+  std::int64_t next_beat_ = 0;
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> is_dark_{false};
+  std::atomic<bool> is_away_{false};
+  std::atomic<bool> is_mute_{false};
   Server server_;
 };
 
