--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -111,6 +111,10 @@
     record_.Line(id_ + (is_mute ? " is cut off: its answers are lost" : " is no longer cut off"));
   }
 
+  // Leaves the next order to start without an answer and carries it out after a delay, whichever
+  // incarnation is there then.
+  void CarryOutNextStartLate(std::int64_t delay_ms) { late_start_ms_ = delay_ms; }
+
   // Crashes, stays without power for a time, and starts again under its id and at its address, as a
   // new incarnation of the given kind.
   void Crash(std::int64_t dark_ms, const std::string& kind) {
@@ -273,6 +277,18 @@
       return {421, "{}"};
     }
     const json::object body = json::parse(request.body()).as_object();
+    if (request.target() == "/run-start") {
+      const std::int64_t delay_ms = late_start_ms_.exchange(0);
+      if (delay_ms > 0) {
+        record_.Line(id_ + " leaves an order without an answer: " + request.body());
+        std::thread([this, request, body, delay_ms] {
+          std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+          record_.Line(id_ + " gets the order that was late");
+          Carry(request, body);
+        }).detach();
+        return {0, {}, true};
+      }
+    }
     Answer answer = Carry(request, body);
     answer.is_silent = answer.is_silent || is_mute_;
     return answer;
@@ -403,6 +419,7 @@
   std::atomic<bool> is_dark_{false};
   std::atomic<bool> is_away_{false};
   std::atomic<bool> is_mute_{false};
+  std::atomic<std::int64_t> late_start_ms_{0};
   Server server_;
 };
 
