Ask the record of a task before each order to start it

Cause: the end of one member decides for the gang, but a member whose start had no answer stayed in stage "starting", and the repetition asked about its worker, not about its task. A successor that missed the member on a restarted worker ordered it again in the same way. Change: OrderStart and IsKeptForFormerOrder go by the record (OwnerCore::IsRecordedRun); when a gang is done, members that are not known to be running are stopped. TaskRecord::IsPlacedAs replaces two spellings of the same condition. Why it works: the record is changed when the end is applied, before any later order, and both paths to an order ask it.

--- a/include/clementineloom/workload/task_record.h
+++ b/include/clementineloom/workload/task_record.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "clementineloom/workload/task_phase.h"
 
@@ -22,6 +23,12 @@
   std::string checkpoint;
 
   friend auto operator<=>(const TaskRecord&, const TaskRecord&) = default;
+
+  /// @brief Whether a start is the task's last one and its run has not ended.
+  /// @param number of the start
+  [[nodiscard]] bool IsPlacedAs(std::uint64_t number, std::string_view on_worker) const {
+    return phase == TaskPhase::kPlaced && run == number && worker == on_worker;
+  }
 };
 
 }  // namespace clementineloom::workload
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -146,6 +146,14 @@
     return operators.evacuated().contains(worker.info.data_centre);
   }
 
+  /// @brief Whether a run is still the one that its task's record has placed for an open job. A
+  /// task that is done, for a gang also by the end of another member, has none, and its runs may
+  /// not be ordered any more.
+  [[nodiscard]] bool IsRecordedRun(const std::string& worker, const workload::TaskRun& run) const {
+    const workload::JobEntry* job = jobs.Find(run.task.step.job);
+    return job != nullptr && job->IsOpen() && job->Task(run.task).IsPlacedAs(run.run, worker);
+  }
+
   /// @brief The step of a run that is running for an open job, so that it may be stopped early;
   /// null for any other run.
   [[nodiscard]] const workload::StepSpec* OpenStepOf(const workload::PlacedRun& run) const {
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -25,9 +25,14 @@
  public:
   explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core) {}
 
-  /// @brief Orders a start, unless its worker has been withdrawn or evacuated since the start was
-  /// planned. Precondition: the start is recorded, and its run holds capacity on the worker.
+  /// @brief Orders a start, unless its task has ended, or its worker has been withdrawn or
+  /// evacuated, since the start was planned. Precondition: the start is recorded, and its run holds
+  /// capacity on the worker.
   void OrderStart(const workload::PlannedStart& start) {
+    if (!core_.IsRecordedRun(start.worker, start.run.run)) {
+      CancelStart(start, "the task has ended or was started again");
+      return;
+    }
     if (MustHoldBack(start.worker)) {
       RetryStart(start);
       return;
@@ -68,9 +73,8 @@
   /// @param sent_at when the call was sent whose answer does not list the run
   [[nodiscard]] bool IsKeptForFormerOrder(const std::string& worker, const workload::PlacedRun& run,
                                           workload::SteadyTime sent_at) const {
-    const workload::JobEntry* job = core_.jobs.Find(run.run.task.step.job);
     if (!run.former_order_until || sent_at >= *run.former_order_until ||
-        run.stage == workload::RunStage::kStopping || job == nullptr || !job->IsOpen()) {
+        run.stage == workload::RunStage::kStopping || !core_.IsRecordedRun(worker, run.run)) {
       return false;
     }
     const workload::StepSpec* spec = core_.jobs.FindStep(run.run.task.step);
@@ -159,24 +163,28 @@
     if (spec == nullptr || !spec->is_gang) {
       return;
     }
-    StopRunsWhere([&run](const workload::TaskRun& it) {
-      return it.task.step == run.task.step && it.run == run.run;
+    StopRunsWhere([&run](const workload::PlacedRun& it) {
+      return it.run.task.step == run.task.step && it.run.run == run.run;
     });
   }
 
   /// @brief Stops the other runs of a task of which one run is done. With it a whole gang is done,
-  /// so that the gang's runs of other numbers are stopped too.
+  /// so that its other runs are stopped too, except members of the same run that are known to be
+  /// running: they end together with it. A member without that knowledge may still be started by a
+  /// copy of its order, if its worker has restarted.
   void StopOtherRuns(const workload::TaskRun& run) {
     const workload::StepSpec* spec = core_.jobs.FindStep(run.task.step);
     const bool is_gang = spec != nullptr && spec->is_gang;
-    StopRunsWhere([&run, is_gang](const workload::TaskRun& it) {
-      return it.task == run.task || (is_gang && it.task.step == run.task.step && it.run != run.run);
+    StopRunsWhere([&run, is_gang](const workload::PlacedRun& it) {
+      const bool ends_together = it.run.run == run.run && it.stage == workload::RunStage::kRunning;
+      return it.run.task == run.task ||
+             (is_gang && it.run.task.step == run.task.step && !ends_together);
     });
   }
 
   /// @brief Stops all runs of a job.
   void StopRunsOf(const std::string& job) {
-    StopRunsWhere([&job](const workload::TaskRun& it) { return it.task.step.job == job; });
+    StopRunsWhere([&job](const workload::PlacedRun& it) { return it.run.task.step.job == job; });
   }
 
  private:
@@ -437,7 +445,7 @@
     std::vector<std::pair<std::string, workload::TaskRun>> found;
     for (const auto& [id, worker] : core_.workers) {
       for (const auto& [run, placed] : worker.runs) {
-        if (matches(run)) {
+        if (matches(placed)) {
           found.emplace_back(id, run);
         }
       }
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -112,6 +112,7 @@
   static constexpr workload::Milliseconds kPollRetryDelay{200};
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
   static constexpr std::uint32_t kUrgentPolls = 30;
+
   // A worker that answered a call sent within this time is still the same incarnation: no worker
   // can restart and end a run faster.
   static constexpr workload::Milliseconds kIncarnationKnownFor{500};
@@ -273,9 +274,7 @@
         continue;
       }
       workload::TaskRecord record = job->Task(run.task);
-      const bool is_current = record.phase == workload::TaskPhase::kPlaced &&
-                              record.run == run.run && record.worker == id;
-      if (is_current && record.checkpoint != placed.checkpoint) {
+      if (record.IsPlacedAs(run.run, id) && record.checkpoint != placed.checkpoint) {
         record.checkpoint = placed.checkpoint;
         records.push_back(workload::TaskSet{run.task, std::move(record)});
       }
--- a/src/workload/run_outcome.cc
+++ b/src/workload/run_outcome.cc
@@ -123,7 +123,7 @@
   const JobEntry* job = jobs.Find(run.task.step.job);
   const TaskRecord& record = job->Task(run.task);
   const bool is_done = reason == EndReason::kDone && !spec->runs_until_cancelled;
-  if (record.phase != TaskPhase::kPlaced || record.run != run.run || record.worker != worker) {
+  if (!record.IsPlacedAs(run.run, worker)) {
     const bool counts = is_done && job->IsOpen() && MayCompleteUnrecorded(record, run);
     return counts ? CompleteTask(*job, run, *spec) : RunOutcome{};
   }
--- /dev/null
+++ b/tests/entry/gang_end_test.cc
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+
+#include <cstddef>
+
+#include "entry/cluster_test.h"
+#include "standin/standin_cluster.h"
+
+namespace clementineloom::entry {
+namespace {
+
+using standin::StandInCluster;
+using standin::StandInWorker;
+using workload::Milliseconds;
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kFirst = "00000000000000a1.0.0.0";
+constexpr const char* kSecond = "00000000000000a1.0.0.1";
+// A gang of which each member takes a whole worker, and a step that keeps the job open.
+constexpr const char* kGangThenTask =
+    R"([{"count":2,"cpu":8000,"memMb":10,"gpus":8,"gang":true},)"
+    R"({"count":1,"cpu":1000,"memMb":10,"gpus":2,"dependsOn":[0]}])";
+constexpr Milliseconds kRunTime{3'000};
+constexpr Milliseconds kUntilDone{kRunTime + Milliseconds(200)};
+constexpr int kOk = 200;
+
+// A gang that is done while the answers of one member's worker are lost; that worker restarts
+// behind the cut.
+class GangEndTest : public ClusterTest {
+ protected:
+  GangEndTest() {
+    cluster_.Unregister(spare_);
+    cluster_.RunFor(Milliseconds(500));
+    owner_ = Owner(cluster_);
+  }
+
+  void SubmitGang() {
+    ASSERT_EQ(cluster_.Submit(owner_, kJob, kGangThenTask)->status, kOk);
+    cluster_.RunFor(Milliseconds(100));
+    ASSERT_EQ(cluster_.StartsOf(kFirst) + cluster_.StartsOf(kSecond), 2);
+  }
+  void ExpectOneStartOfEachMember() {
+    EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(30'000)));
+    EXPECT_EQ(cluster_.StartsOf(kFirst), 1);
+    EXPECT_EQ(cluster_.StartsOf(kSecond), 1);
+  }
+
+  StandInCluster cluster_{3, 3, kRunTime};
+  // Takes the second step.
+  StandInWorker& spare_ = *cluster_.workers[2];
+  std::size_t owner_ = 0;
+};
+
+// Guards against a member that starts again after its gang is done: its start had no answer and was
+// repeated on the restarted worker.
+TEST_F(GangEndTest, Member_WithoutAnswerOnARestartedWorker_IsNotOrderedOnceTheGangIsDone) {
+  StandInWorker& cut = *cluster_.workers[1];
+  cluster_.port(owner_).LoseAnswers(cut.address());
+  SubmitGang();
+  cluster_.Register(spare_);
+  cluster_.RunFor(kUntilDone);
+  ASSERT_EQ(cluster_.WorkersRunning("00000000000000a1.0.1.0").size(), 1U);
+  cut.Restart();
+  cluster_.port(owner_).Heal(cut.address());
+  ExpectOneStartOfEachMember();
+}
+
+// Guards against the same across a change of owner: the successor learned from one worker that the
+// gang is done, and repeated the start of the member that the other one no longer has.
+TEST_F(GangEndTest, Member_MissingAtATakeover_IsNotOrderedOnceTheGangIsDone) {
+  SubmitGang();
+  cluster_.RunFor(kRunTime - Milliseconds(200));
+  cluster_.Kill(owner_);
+  cluster_.RunFor(Milliseconds(200));
+  ASSERT_EQ(cluster_.RunningCount(), 0U);
+  cluster_.workers[1]->Restart();
+  cluster_.Register(*cluster_.workers[1]);
+  cluster_.Register(spare_);
+  ExpectOneStartOfEachMember();
+}
+
+// Guards against the same where the successor hears of the restarted worker first.
+TEST_F(GangEndTest, Member_MissingAtATakeover_IsNotOrderedBeforeTheGangIsKnownNotToBeDone) {
+  SubmitGang();
+  cluster_.RunFor(kRunTime - Milliseconds(200));
+  cluster_.Kill(owner_);
+  cluster_.RunFor(Milliseconds(200));
+  ASSERT_EQ(cluster_.RunningCount(), 0U);
+  cluster_.workers[0]->Restart();
+  cluster_.Register(*cluster_.workers[0]);
+  cluster_.Register(spare_);
+  ExpectOneStartOfEachMember();
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
