Hold a gang's start back while the gang may be done unknown to the owner

Callers would see: a member of a gang that was done starts again, where no worker has listed the end yet. Cause: the record is asked before each order, but nobody has told the owner of the end while the answers of the other members' workers are lost or, after a takeover, still on their way. The restarted worker that answers first got the order. Ruled out: stopping the gang instead, since a gang whose order was only on its way at a takeover would begin anew each time (GangEndTest.Member_MissingAtATakeover_IsOrderedWhileTheOtherMemberRuns). Change: a run notes when its worker was seen without it although an earlier incarnation may have started it; GangContact holds its order back until another member is listed as running or all other members' workers have answered since. Why it works: a gang that is at work, or whose members are known to be missing, is not done; an end that a worker holds is in its next answer, after which the record says so.

--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -29,6 +29,9 @@
   std::optional<SteadyTime> former_order_until;
   /// The orders to start the run that this owner has sent.
   StartCopies start_copies;
+  /// When its worker was seen not to have it although an earlier incarnation may have started it;
+  /// absent if that was not seen, or the worker has listed the run since.
+  std::optional<SteadyTime> missed_at;
   /// Incarnation of the worker, by its start time, whose lists last held the run; 0 before the
   /// first.
   std::int64_t listed_in_incarnation = 0;
--- a/src/entry/owner/owner_timing.h
+++ b/src/entry/owner/owner_timing.h
@@ -13,6 +13,9 @@
   static constexpr workload::Milliseconds kFailureBackoff{1'000};
   /// The same for a worker that failed runs of several jobs in a row, or on which a run stalled.
   static constexpr workload::Milliseconds kLongBackoff{4'000};
+  /// A worker that answered a call sent within this time is still the same incarnation: no worker
+  /// can restart and end a run faster.
+  static constexpr workload::Milliseconds kIncarnationKnownFor{500};
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -7,6 +7,7 @@
 
 #include "clementineloom/workload/planned_start.h"
 #include "codec/task_name.h"
+#include "entry/owner/gang_contact.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/worker/start_order.h"
@@ -23,7 +24,7 @@
 template <class Platform, CallPort Port>
 class WorkerOrders {
  public:
-  explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core) {}
+  explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core), gangs_(core) {}
 
   /// @brief Orders a start, unless its task has ended, or its worker has been withdrawn or
   /// evacuated, since the start was planned. Precondition: the start is recorded, and its run holds
@@ -33,7 +34,7 @@
       CancelStart(start, "the task has ended or was started again");
       return;
     }
-    if (MustHoldBack(start.worker)) {
+    if (MustHoldBack(start)) {
       RetryStart(start);
       return;
     }
@@ -97,6 +98,7 @@
     placed.is_adopted = false;
     // The order of the earlier owner counts as a copy without an answer.
     placed.start_copies.OnSent(core_.port.Now());
+    placed.missed_at = core_.port.Now();
     const workload::PlannedStart start{worker, placed, {}};
     LogStart("start_repeated", start, "an earlier owner's order may still arrive");
     const workload::TaskRecord record = core_.jobs.Find(run.task.step.job)->Task(run.task);
@@ -138,9 +140,12 @@
     BeginStop(worker, run);
   }
 
-  /// @brief Makes a restarted worker refuse starts without an answer whose runs are over: only the
-  /// earlier incarnation knew that. Runs that still hold capacity are settled by the lists.
-  void RefuseLateStarts(const std::string& worker) {
+  /// @brief Handles the restart of a worker, before its new lists are applied.
+  ///
+  /// Makes it refuse starts without an answer whose runs are over: only the earlier incarnation
+  /// knew that. Runs that still hold capacity are settled by the lists.
+  void OnRestart(const std::string& worker) {
+    NoteMissedStarts(worker);
     DropOldUnansweredStarts(worker);
     for (const auto& [run, timed_out_at] : core_.links[worker].unanswered_starts) {
       if (core_.FindRun(worker, run) == nullptr) {
@@ -214,6 +219,14 @@
            worker.is_listed && !worker.info.is_draining && !core_.IsEvacuated(worker);
   }
 
+  void NoteMissedStarts(const std::string& worker) {
+    for (auto& [run, placed] : core_.workers[worker].runs) {
+      if (placed.start_copies.MayArrive()) {
+        placed.missed_at = core_.port.Now();
+      }
+    }
+  }
+
   void DropOldUnansweredStarts(const std::string& worker) {
     std::erase_if(core_.links[worker].unanswered_starts, [this](const auto& it) {
       return core_.port.Now() - it.second > workload::StartCopies::kMaxDelay;
@@ -346,10 +359,12 @@
     }
   }
 
-  // Whether no start may be ordered on a worker for the time being: a view that is not current may
-  // lack an evacuation, and an order extends the lease.
-  [[nodiscard]] bool MustHoldBack(const std::string& worker) const {
-    return !core_.HasCurrentView() || !core_.MayExtendLease(worker);
+  // Whether a start may not be ordered for the time being: a view that is not current may lack an
+  // evacuation, an order extends the lease, and the member of a gang may be done.
+  [[nodiscard]] bool MustHoldBack(const workload::PlannedStart& start) const {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    return !core_.HasCurrentView() || !core_.MayExtendLease(start.worker) ||
+           (run != nullptr && gangs_.MayBeDone(start.worker, *run));
   }
 
   void RetryStart(const workload::PlannedStart& start) {
@@ -359,7 +374,7 @@
         return;
       }
       // An order extends the lease, which must not happen for a worker that does not answer.
-      if (core_.links[start.worker].failures > 0 || MustHoldBack(start.worker)) {
+      if (core_.links[start.worker].failures > 0 || MustHoldBack(start)) {
         RetryStart(start);
       } else {
         LogStart("start_repeated", start,
@@ -456,6 +471,7 @@
   }
 
   OwnerCore<Platform, Port>& core_;
+  GangContact<Platform, Port> gangs_;
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -113,10 +113,6 @@
   static constexpr workload::Milliseconds kIdlePollRetryDelay{1'000};
   static constexpr std::uint32_t kUrgentPolls = 30;
 
-  // A worker that answered a call sent within this time is still the same incarnation: no worker
-  // can restart and end a run faster.
-  static constexpr workload::Milliseconds kIncarnationKnownFor{500};
-
   // Two calls in a row fit into the window in which a worker counts as reached.
   static constexpr workload::Milliseconds kPollWaitWhileUnconfirmed{1'000};
 
@@ -134,7 +130,7 @@
   // would drop ends of its own that nobody has read.
   [[nodiscard]] bool MayAcknowledge(const WorkerLink& link) const {
     return link.acknowledged_end > link.confirmed_acknowledgement && link.failures == 0 &&
-           core_.port.Now() - link.last_answered_sent_at <= kIncarnationKnownFor;
+           core_.port.Now() - link.last_answered_sent_at <= OwnerTiming::kIncarnationKnownFor;
   }
 
   // Resets the link for a new incarnation of a worker. Its lists will show which runs it has.
@@ -155,7 +151,7 @@
     ++link.restarts;
     link.incarnation_began_at = core_.port.Now();
     core_.workers[id].is_attached = false;
-    orders_.RefuseLateStarts(id);
+    orders_.OnRestart(id);
   }
 
   // Asks a worker when it started, beside the poll that may still wait for an answer of an earlier
@@ -389,6 +385,7 @@
     }
     run->listed_in_incarnation = link.started_at_ms;
     run->start_copies.OnListed();
+    run->missed_at.reset();
     if (run->is_adopted) {
       // The order of the earlier owner has arrived.
       run->former_order_until.reset();
--- a/tests/entry/gang_end_test.cc
+++ b/tests/entry/gang_end_test.cc
@@ -3,6 +3,7 @@
 #include <cstddef>
 
 #include "entry/cluster_test.h"
+#include "standin/call_fault.h"
 #include "standin/standin_cluster.h"
 
 namespace clementineloom::entry {
@@ -91,5 +92,51 @@
   ExpectOneStartOfEachMember();
 }
 
+// Guards against the same where the worker that lists the end of the gang answers much later.
+TEST_F(GangEndTest, Member_MissingAtATakeover_WaitsForTheWorkersOfTheOtherMembers) {
+  SubmitGang();
+  cluster_.RunFor(kRunTime - Milliseconds(200));
+  cluster_.Kill(owner_);
+  cluster_.RunFor(Milliseconds(200));
+  ASSERT_EQ(cluster_.RunningCount(), 0U);
+  cluster_.workers[0]->Restart();
+  cluster_.Register(*cluster_.workers[0]);
+  cluster_.Register(spare_);
+  cluster_.workers[1]->DelayAnswersOf("/hold", Milliseconds(500));
+  ExpectOneStartOfEachMember();
+}
+
+// Guards against the same without a change of owner: the answers of both workers were lost while
+// the gang ended, and those of the restarted one arrive first.
+TEST_F(GangEndTest, Members_WithoutAnswers_AreNotOrderedBeforeTheGangIsKnownNotToBeDone) {
+  for (const auto& it : {cluster_.workers[0]->address(), cluster_.workers[1]->address()}) {
+    cluster_.port(owner_).LoseAnswers(it);
+  }
+  SubmitGang();
+  cluster_.Register(spare_);
+  cluster_.RunFor(kUntilDone);
+  cluster_.workers[0]->Restart();
+  cluster_.port(owner_).Heal(cluster_.workers[0]->address());
+  cluster_.RunFor(Milliseconds(1'500));
+  cluster_.port(owner_).Heal(cluster_.workers[1]->address());
+  ExpectOneStartOfEachMember();
+}
+
+// Guards against a gang that is not completed after a takeover because one member, whose order was
+// still on its way, waits although the others are seen to wait for it.
+TEST_F(GangEndTest, Member_MissingAtATakeover_IsOrderedWhileTheOtherMemberRuns) {
+  standin::CallFault late;
+  late.request_delay = Milliseconds(9'000);
+  late.loses_answer = true;
+  cluster_.port(owner_).FaultNextCall("/run-start", late);
+  ASSERT_EQ(cluster_.Submit(owner_, kJob, kGangThenTask)->status, kOk);
+  cluster_.RunFor(Milliseconds(100));
+  ASSERT_EQ(cluster_.RunningCount(), 1U);
+  cluster_.Kill(owner_);
+  // Longest time until a change of owner is complete.
+  cluster_.RunFor(Milliseconds(2'500));
+  EXPECT_EQ(cluster_.RunningCount(), 2U);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
