Count a failed run of a gang once

Cause: the failures of a gang were the sum of its members' failures, so that members which failed together counted one by one. An attempt of a gang is a run of it. Change: the record of a start takes the gang's count, the highest of its members; a failed member adds one to the count before the run, so that all that fail in a run reach the same number. Nothing is added to the stored records. Why it works: the number depends on the run only, not on how many members report it, nor on which owner reads which end.

--- a/include/clementineloom/workload/job_entry.h
+++ b/include/clementineloom/workload/job_entry.h
@@ -34,6 +34,10 @@
     return submission && step < submission->steps.size() ? &submission->steps[step] : nullptr;
   }
 
+  /// @brief Number of runs of a task that ended as failed. The members of a gang share it: a run in
+  /// which any of them failed counts once.
+  [[nodiscard]] std::uint32_t FailedRuns(const TaskId& id) const;
+
   /// @brief Whether all tasks of a step are done. Precondition: submission is set and has the step.
   [[nodiscard]] bool IsStepDone(std::uint32_t occurrence, std::uint32_t step) const;
 
--- a/include/clementineloom/workload/task_record.h
+++ b/include/clementineloom/workload/task_record.h
@@ -17,7 +17,8 @@
   std::uint64_t run = 0;
   /// Worker of the last start.
   std::string worker;
-  /// Runs that ended as failed.
+  /// Runs that ended as failed. For the member of a gang: failed runs of the gang when the member's
+  /// last run began, and that run, if the member failed in it.
   std::uint32_t failures = 0;
   /// Progress from which the next run resumes; empty for none.
   std::string checkpoint;
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -162,9 +163,9 @@
     for (const workload::PlannedStart& it : starts) {
       LogFirstStart(it);
       const workload::TaskId& task = it.run.run.task;
-      const workload::TaskRecord& last = core_.jobs.Find(task.step.job)->Task(task);
-      workload::TaskRecord record{workload::TaskPhase::kPlaced, it.run.run.run, it.worker,
-                                  last.failures, it.run.checkpoint};
+      const std::uint32_t failures = core_.jobs.Find(task.step.job)->FailedRuns(task);
+      workload::TaskRecord record{workload::TaskPhase::kPlaced, it.run.run.run, it.worker, failures,
+                                  it.run.checkpoint};
       records.push_back(workload::TaskSet{task, std::move(record)});
       core_.workers[it.worker].Add(it.run);
     }
--- a/src/workload/job_entry.cc
+++ b/src/workload/job_entry.cc
@@ -15,6 +15,19 @@
   return row->second[id.index];
 }
 
+std::uint32_t JobEntry::FailedRuns(const TaskId& id) const {
+  const StepSpec* spec = FindStep(id.step.step);
+  const auto row = tasks.find({id.step.occurrence, id.step.step});
+  if (spec == nullptr || !spec->is_gang || row == tasks.end()) {
+    return Task(id).failures;
+  }
+  std::uint32_t count = 0;
+  for (const TaskRecord& it : row->second) {
+    count = std::max(count, it.failures);
+  }
+  return count;
+}
+
 bool JobEntry::IsStepDone(std::uint32_t occurrence, std::uint32_t step) const {
   const auto row = tasks.find({occurrence, step});
   const std::uint32_t task_count = submission->steps[step].task_count;
--- a/src/workload/run_outcome.cc
+++ b/src/workload/run_outcome.cc
@@ -1,5 +1,6 @@
 #include "clementineloom/workload/run_outcome.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -24,15 +25,19 @@
   DropTasks(id, job, outcome.records);
 }
 
-std::uint32_t FailuresOf(const JobEntry& job, const TaskId& task, const StepSpec& spec) {
+// Failed runs of a task, or of its gang, before the given run. A member that has ended in the run
+// may count it already.
+std::uint32_t FailedRunsBefore(const JobEntry& job, const TaskRun& run, const StepSpec& spec) {
   if (!spec.is_gang) {
-    return job.Task(task).failures;
+    return job.Task(run.task).failures;
   }
-  std::uint32_t sum = 0;
+  std::uint32_t count = 0;
   for (std::uint32_t index = 0; index < spec.task_count; ++index) {
-    sum += job.Task({task.step, index}).failures;
+    const TaskRecord& record = job.Task({run.task.step, index});
+    const bool has_ended = record.phase == TaskPhase::kWaiting && record.run == run.run;
+    count = has_ended ? count : std::max(count, record.failures);
   }
-  return sum;
+  return count;
 }
 
 // Whether every task is done but those of one step from first to last - 1.
@@ -84,11 +89,10 @@
     record.checkpoint = checkpoint;
   }
   if (reason == EndReason::kFailed) {
-    ++record.failures;
+    record.failures = FailedRunsBefore(job, run, spec) + 1;
   }
+  const std::uint32_t failures = record.failures;
   outcome.breaks_gang = spec.is_gang;
-  const std::uint32_t failures =
-      FailuresOf(job, run.task, spec) + (reason == EndReason::kFailed ? 1 : 0);
   outcome.records.push_back(TaskSet{run.task, std::move(record)});
   if (reason == EndReason::kFailed && !spec.runs_until_cancelled &&
       failures >= job.submission->queue.max_attempts) {
--- a/tests/workload/run_outcome_test.cc
+++ b/tests/workload/run_outcome_test.cc
@@ -19,6 +19,12 @@
       table_.Apply(TaskSet{Task(index), TaskRecord{TaskPhase::kPlaced, 1, "w", 0, ""}});
     }
   }
+  // Places all members of a gang of two for another run.
+  void Place(std::uint64_t run, std::uint32_t failures) {
+    for (std::uint32_t index = 0; index < 2; ++index) {
+      table_.Apply(TaskSet{Task(index), TaskRecord{TaskPhase::kPlaced, run, "w", failures, ""}});
+    }
+  }
   static TaskId Task(std::uint32_t index) { return {{"job", 0, 0}, index}; }
 
   RunOutcome End(std::uint32_t index, EndReason reason, const std::string& checkpoint = "") {
@@ -65,6 +71,24 @@
   EXPECT_EQ(End(1, EndReason::kFailed).ended_job, JobState::kFailed);
 }
 
+// Guards against a job that fails too early because the members of a run that failed together count
+// one by one.
+TEST_F(RunOutcomeTest, Failed_OfTwoMembersOfOneRun_CountsOnce) {
+  Accept(3, true);
+  EXPECT_FALSE(End(0, EndReason::kFailed).ended_job.has_value());
+  EXPECT_FALSE(End(2, EndReason::kFailed).ended_job.has_value());
+  EXPECT_EQ(table_.Find("job")->FailedRuns(Task(1)), 1U);
+}
+
+// Guards against a run that is not counted because another member ended without a failure before.
+TEST_F(RunOutcomeTest, Failed_AfterAnotherMemberHasLapsed_CountsTheRun) {
+  Accept(2, true);
+  End(0, EndReason::kFailed);
+  Place(2, 1);
+  End(0, EndReason::kLapsed);
+  EXPECT_EQ(End(1, EndReason::kFailed).ended_job, JobState::kFailed);
+}
+
 // Guards against losing the checkpoint of a run whose lease expired, and against counting it as an
 // attempt.
 TEST_F(RunOutcomeTest, Lapsed_WithACheckpoint_KeepsItAndCountsNoAttempt) {
