Ask whether the worker still suits the task before each order

Cause: the plan looks at the service, the label and the room of a worker, the repetition of a start without an answer only at whether the worker is in service. A worker may start again under its id as another kind. Change: OwnerCore::MayStartOn takes the task and asks JobEntry::MayRunOn, which the planner uses too; a start is not repeated on a restarted worker whose runs exceed its capacity. All three paths to an order ask it. Why it works: the entry of the new incarnation replaces the former one before the order is repeated, and the start is called off as on a worker that drains: stopped there, and planned anew.

--- a/include/clementineloom/workload/job_entry.h
+++ b/include/clementineloom/workload/job_entry.h
@@ -11,6 +11,7 @@
 #include "clementineloom/workload/step_id.h"
 #include "clementineloom/workload/task_id.h"
 #include "clementineloom/workload/task_record.h"
+#include "clementineloom/workload/worker_info.h"
 
 namespace clementineloom::workload {
 
@@ -34,6 +35,10 @@
     return submission && step < submission->steps.size() ? &submission->steps[step] : nullptr;
   }
 
+  /// @brief Whether a worker has the service and the label that a step requires.
+  /// Precondition: submission is set and has the step.
+  [[nodiscard]] bool MayRunOn(const WorkerInfo& worker, std::uint32_t step) const;
+
   /// @brief Number of runs of a task that ended as failed. The members of a gang share it: a run in
   /// which any of them failed counts once.
   [[nodiscard]] std::uint32_t FailedRuns(const TaskId& id) const;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -134,11 +134,15 @@
     return operators.IsCurrent(now) && suspension.IsConfirmedSince(confirmed_at, now);
   }
 
-  /// @brief Whether a start may be ordered on a worker: it is in service and its data centre is not
-  /// evacuated, as far as this owner knows now.
-  [[nodiscard]] bool MayStartOn(const std::string& worker) const {
+  /// @brief Whether a task may be ordered to start on a worker: it is in service, its data centre
+  /// is not evacuated, and it has what the task requires, as far as this owner knows now. A worker
+  /// that has restarted may be of another kind.
+  [[nodiscard]] bool MayStartOn(const std::string& worker, const workload::TaskId& task) const {
     const auto it = workers.find(worker);
-    return it != workers.end() && it->second.IsInService() && !IsEvacuated(it->second);
+    const workload::JobEntry* job = jobs.Find(task.step.job);
+    return it != workers.end() && it->second.IsInService() && !IsEvacuated(it->second) &&
+           job != nullptr && job->FindStep(task.step.step) != nullptr &&
+           job->MayRunOn(it->second.info, task.step.step);
   }
 
   /// @brief Whether a worker's data centre is evacuated.
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/worker_orders.h
@@ -43,7 +43,8 @@
       RetryStart(start);
       return;
     }
-    if (!core_.MayStartOn(start.worker) || core_.links[start.worker].order_silence.IsLasting()) {
+    if (!core_.MayStartOn(start.worker, start.run.run.task) || IsTooLargeAfterRestart(start) ||
+        core_.links[start.worker].order_silence.IsLasting()) {
       CancelStart(start, "the worker takes no new runs");
       return;
     }
@@ -83,14 +84,14 @@
       return false;
     }
     const bool may_wait = !spec->runs_until_cancelled && !spec->is_gang && !spec->allows_duplicates;
-    return may_wait || core_.MayStartOn(worker);
+    return may_wait || core_.MayStartOn(worker, run.run.task);
   }
 
   /// @brief Orders the start of such a run once more, if its worker takes runs. The record is
   /// stored again first, so that a successor knows of the order. Precondition:
   /// IsKeptForFormerOrder.
   void OrderAgain(const std::string& worker, const workload::TaskRun& run) {
-    if (!core_.MayStartOn(worker)) {
+    if (!core_.MayStartOn(worker, run.task)) {
       return;
     }
     workload::PlacedRun& placed = *core_.FindRun(worker, run);
@@ -201,6 +202,14 @@
     return is_spread && worker.used.FitsIn(worker.info.capacity);
   }
 
+  // Whether the worker of a start has restarted with a capacity that its runs exceed.
+  [[nodiscard]] bool IsTooLargeAfterRestart(const workload::PlannedStart& start) const {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    const workload::StepId& step = start.run.run.task.step;
+    return run != nullptr && run->missed_at &&
+           !IsWithinLimits(core_.workers.at(start.worker), step, *core_.jobs.FindStep(step));
+  }
+
   // Orders a stop, which counts as confirmed once the worker has answered it. Precondition: the run
   // holds capacity on the worker.
   void BeginStop(const std::string& worker, const workload::TaskRun& run) {
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -16,9 +16,7 @@
 }  // namespace
 
 bool IsEligible(const PoolWorker& worker, const StartCandidate& step) {
-  const StepSpec& spec = step.spec();
-  return worker.info.service == step.job->submission->queue.service &&
-         (spec.required_label.empty() || worker.info.HasLabel(spec.required_label));
+  return step.job->MayRunOn(worker.info, step.step.step);
 }
 
 bool MayUseReserve(const StartCandidate& step) {
--- a/src/workload/job_entry.cc
+++ b/src/workload/job_entry.cc
@@ -15,6 +15,11 @@
   return row->second[id.index];
 }
 
+bool JobEntry::MayRunOn(const WorkerInfo& worker, std::uint32_t step) const {
+  const std::string& label = submission->steps[step].required_label;
+  return worker.service == submission->queue.service && (label.empty() || worker.HasLabel(label));
+}
+
 std::uint32_t JobEntry::FailedRuns(const TaskId& id) const {
   const StepSpec* spec = FindStep(id.step.step);
   const auto row = tasks.find({id.step.occurrence, id.step.step});
