Split the orders to workers into starts, stops and their contact

Ruled out: nothing; no behaviour changes. Change: RunStarts and RunStops in files of their own beside RunEnds, OrderContact for what both note of a worker's answers; components get only what they use. The delay between repetitions is in OwnerTiming.

--- a/src/entry/owner/drain_moves.h
+++ b/src/entry/owner/drain_moves.h
@@ -8,7 +8,7 @@
 #include "clementineloom/workload/drain_move.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
-#include "entry/owner/worker_orders.h"
+#include "entry/owner/run_stops.h"
 
 namespace clementineloom::entry {
 
@@ -17,8 +17,8 @@
 template <class Platform, CallPort Port>
 class DrainMoves {
  public:
-  DrainMoves(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
-      : core_(core), orders_(orders) {}
+  DrainMoves(OwnerCore<Platform, Port>& core, RunStops<Platform, Port>& stops)
+      : core_(core), stops_(stops) {}
 
   /// @brief Records whether a worker is draining, and when it will leave.
   void OnWorker(const workload::WorkerInfo& info) {
@@ -69,11 +69,11 @@
                        {"run", run.run},
                        {"worker", worker},
                        {"worker_leaves_in_ms", time_left.count()}});
-    orders_.StopEarly(worker, run, "moved");
+    stops_.StopEarly(worker, run, "moved");
   }
 
   OwnerCore<Platform, Port>& core_;
-  WorkerOrders<Platform, Port>& orders_;
+  RunStops<Platform, Port>& stops_;
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -20,11 +20,13 @@
 #include "entry/owner/fill_pacing.h"
 #include "entry/owner/late_starts.h"
 #include "entry/owner/lease_withholding.h"
+#include "entry/owner/order_contact.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_hooks.h"
 #include "entry/owner/run_ends.h"
+#include "entry/owner/run_starts.h"
+#include "entry/owner/run_stops.h"
 #include "entry/owner/task_placement.h"
-#include "entry/owner/worker_orders.h"
 #include "entry/owner/worker_poller.h"
 
 namespace clementineloom::entry {
@@ -48,14 +50,16 @@
         std::unique_ptr<Appender<Platform, Port>> appender, OwnerOptions options, OwnerHooks hooks)
       : core_(port, jobs, operators, metrics, std::move(appender), std::move(options),
               std::move(hooks.on_lost)),
-        orders_(core_),
+        order_contact_(core_),
+        stops_(core_, order_contact_),
+        starts_(core_, order_contact_, stops_),
         late_starts_(core_),
-        ends_(core_, orders_, late_starts_),
+        ends_(core_, stops_, late_starts_),
         pacing_(core_),
         withholding_(core_),
-        poller_(core_, orders_, ends_, late_starts_, pacing_, withholding_),
-        placement_(core_, orders_),
-        drain_moves_(core_, orders_),
+        poller_(core_, starts_, stops_, ends_, late_starts_, pacing_, withholding_),
+        placement_(core_, starts_, stops_),
+        drain_moves_(core_, stops_),
         recent_starts_(recent_starts),
         on_hand_over_(std::move(hooks.on_hand_over)),
         has_peers_(std::move(hooks.has_peers)),
@@ -357,7 +361,7 @@
     for (const auto& [id, job] : core_.jobs.jobs()) {
       if (job.is_cancelled && stopped_jobs_.insert(id).second) {
         core_.advice.DropJob(id);
-        orders_.StopRunsOf(id);
+        stops_.StopRunsOf(id);
       }
     }
   }
@@ -386,7 +390,9 @@
   }
 
   OwnerCore<Platform, Port> core_;
-  WorkerOrders<Platform, Port> orders_;
+  OrderContact<Platform, Port> order_contact_;
+  RunStops<Platform, Port> stops_;
+  RunStarts<Platform, Port> starts_;
   LateStarts<Platform, Port> late_starts_;
   RunEnds<Platform, Port> ends_;
   FillPacing<Platform, Port> pacing_;
--- a/src/entry/owner/owner_timing.h
+++ b/src/entry/owner/owner_timing.h
@@ -8,6 +8,8 @@
 struct OwnerTiming {
   /// Workers answer orders immediately; an order without an answer for this long has timed out.
   static constexpr workload::Milliseconds kOrderTimeout{700};
+  /// Pause before an order without an answer is repeated.
+  static constexpr workload::Milliseconds kOrderRetryDelay{300};
   /// No new runs are placed for this time on a worker that refused an order, failed a run or did
   /// not answer.
   static constexpr workload::Milliseconds kFailureBackoff{1'000};
--- a/src/entry/owner/run_ends.h
+++ b/src/entry/owner/run_ends.h
@@ -11,7 +11,7 @@
 #include "entry/owner/late_starts.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
-#include "entry/owner/worker_orders.h"
+#include "entry/owner/run_stops.h"
 
 namespace clementineloom::entry {
 
@@ -22,9 +22,9 @@
  public:
   using Records = typename OwnerCore<Platform, Port>::Records;
 
-  RunEnds(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
+  RunEnds(OwnerCore<Platform, Port>& core, RunStops<Platform, Port>& stops,
           LateStarts<Platform, Port>& late_starts)
-      : core_(core), orders_(orders), late_starts_(late_starts) {}
+      : core_(core), stops_(stops), late_starts_(late_starts) {}
 
   /// @brief Processes one end. Its records are applied and added to records; the caller appends
   /// them.
@@ -49,12 +49,12 @@
       records.push_back(it);
     }
     if (outcome.breaks_gang) {
-      orders_.BreakGang(run);
+      stops_.BreakGang(run);
     }
     if (outcome.ended_job) {
       OnJobEnded(run.task.step.job, *outcome.ended_job);
     } else if (reason == workload::EndReason::kDone && !outcome.records.empty()) {
-      orders_.StopOtherRuns(run);
+      stops_.StopOtherRuns(run);
     }
   }
 
@@ -115,7 +115,7 @@
         logging::LogLevel::kInfo, "job_ended",
         {{"job", job}, {"state", static_cast<int>(state)}, {"epoch", core_.options.epoch}});
     core_.advice.DropJob(job);
-    orders_.StopRunsOf(job);
+    stops_.StopRunsOf(job);
   }
 
   void NoteWorkerHealth(const std::string& id, const workload::TaskRun& run,
@@ -139,7 +139,7 @@
   }
 
   OwnerCore<Platform, Port>& core_;
-  WorkerOrders<Platform, Port>& orders_;
+  RunStops<Platform, Port>& stops_;
   LateStarts<Platform, Port>& late_starts_;
   // For each worker, the job of the last run that failed there: consecutive failures of one job
   // count once.
--- a/src/entry/owner/worker_orders.h
+++ b/src/entry/owner/run_starts.h
@@ -2,29 +2,28 @@
 
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 #include "clementineloom/workload/planned_start.h"
 #include "codec/task_name.h"
 #include "entry/owner/gang_contact.h"
+#include "entry/owner/order_contact.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
+#include "entry/owner/run_stops.h"
 #include "entry/worker/start_order.h"
-#include "entry/worker/stop_order.h"
 
 namespace clementineloom::entry {
 
-/// @brief Orders workers to start and stop runs, and repeats each order until its outcome is known.
+/// @brief Orders workers to start runs, and repeats each order until its outcome is known.
 ///
 /// A start without an answer may be carried out later: it is repeated until the worker answers, the
-/// run is stopped, or the lease ends. A worker that answers polls but no orders gets no new runs
-/// and its lease is let go; one stop is repeated to notice when it answers again. Thread safety:
-/// none; use from the thread of the port.
+/// run is stopped, or the lease ends. Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
-class WorkerOrders {
+class RunStarts {
  public:
-  explicit WorkerOrders(OwnerCore<Platform, Port>& core) : core_(core), gangs_(core) {}
+  RunStarts(OwnerCore<Platform, Port>& core, OrderContact<Platform, Port>& contact,
+            RunStops<Platform, Port>& stops)
+      : core_(core), contact_(contact), stops_(stops), gangs_(core) {}
 
   /// @brief Orders a start, unless its task has ended, or its worker has been withdrawn or
   /// evacuated, since the start was planned. Precondition: the start is recorded, and its run holds
@@ -111,36 +110,6 @@
     });
   }
 
-  /// @brief Orders a stop. The run holds its capacity until the worker lists its end.
-  void OrderStop(const std::string& worker, const workload::TaskRun& run) {
-    workload::PlacedRun* placed = core_.FindRun(worker, run);
-    if (placed == nullptr || placed->stage == workload::RunStage::kStopping) {
-      return;
-    }
-    if (placed->stage == workload::RunStage::kRecording) {
-      core_.workers[worker].Remove(run);
-      return;
-    }
-    BeginStop(worker, run);
-  }
-
-  /// @brief Stops a run that a worker lists but that is not recorded, because an earlier order was
-  /// carried out late. Until its end is listed it holds its capacity, and its task is not started
-  /// elsewhere.
-  void StopUnrecorded(const std::string& worker, const workload::TaskRun& run) {
-    const workload::StepSpec* spec = core_.jobs.FindStep(run.task.step);
-    core_.workers[worker].Add(workload::PlacedRun::Of(
-        run, spec == nullptr ? workload::StepSpec{} : *spec, 0, core_.port.Now()));
-    BeginStop(worker, run);
-  }
-
-  /// @brief Makes a restarted worker refuse a run that was ordered from its earlier incarnation:
-  /// the new one knows neither the run nor an order to stop it. Precondition: the run holds
-  /// capacity on the worker.
-  void RefuseAfterRestart(const std::string& worker, const workload::TaskRun& run) {
-    BeginStop(worker, run);
-  }
-
   /// @brief Handles the restart of a worker, before its new lists are applied.
   ///
   /// Makes it refuse starts without an answer whose runs are over: only the earlier incarnation
@@ -150,52 +119,12 @@
     DropOldUnansweredStarts(worker);
     for (const auto& [run, timed_out_at] : core_.links[worker].unanswered_starts) {
       if (core_.FindRun(worker, run) == nullptr) {
-        StopUnrecorded(worker, run);
+        stops_.StopUnrecorded(worker, run);
       }
     }
   }
 
-  /// @brief Stops a running run, and with it its gang, by a decision of the scheduler.
-  /// @param cause label value of the metric of stopped runs
-  void StopEarly(const std::string& worker, const workload::TaskRun& run, std::string_view cause) {
-    core_.metrics.Count(kRunsStopped.name, kRunsStopped.label, cause);
-    OrderStop(worker, run);
-    BreakGang(run);
-  }
-
-  /// @brief Stops the other members of a gang of which one run has ended or cannot start.
-  void BreakGang(const workload::TaskRun& run) {
-    const workload::StepSpec* spec = core_.jobs.FindStep(run.task.step);
-    if (spec == nullptr || !spec->is_gang) {
-      return;
-    }
-    StopRunsWhere([&run](const workload::PlacedRun& it) {
-      return it.run.task.step == run.task.step && it.run.run == run.run;
-    });
-  }
-
-  /// @brief Stops the other runs of a task of which one run is done. With it a whole gang is done,
-  /// so that its other runs are stopped too, except members of the same run that are known to be
-  /// running: they end together with it. A member without that knowledge may still be started by a
-  /// copy of its order, if its worker has restarted.
-  void StopOtherRuns(const workload::TaskRun& run) {
-    const workload::StepSpec* spec = core_.jobs.FindStep(run.task.step);
-    const bool is_gang = spec != nullptr && spec->is_gang;
-    StopRunsWhere([&run, is_gang](const workload::PlacedRun& it) {
-      const bool ends_together = it.run.run == run.run && it.stage == workload::RunStage::kRunning;
-      return it.run.task == run.task ||
-             (is_gang && it.run.task.step == run.task.step && !ends_together);
-    });
-  }
-
-  /// @brief Stops all runs of a job.
-  void StopRunsOf(const std::string& job) {
-    StopRunsWhere([&job](const workload::PlacedRun& it) { return it.run.task.step.job == job; });
-  }
-
  private:
-  static constexpr workload::Milliseconds kOrderRetryDelay{300};
-
   static bool IsWithinLimits(const workload::PoolWorker& worker, const workload::StepId& step,
                              const workload::StepSpec& spec) {
     const bool is_spread = spec.max_per_worker == 0 || worker.CountOf(step) <= spec.max_per_worker;
@@ -210,15 +139,6 @@
            !IsWithinLimits(core_.workers.at(start.worker), step, *core_.jobs.FindStep(step));
   }
 
-  // Orders a stop, which counts as confirmed once the worker has answered it. Precondition: the run
-  // holds capacity on the worker.
-  void BeginStop(const std::string& worker, const workload::TaskRun& run) {
-    workload::PlacedRun* placed = core_.FindRun(worker, run);
-    placed->stage = workload::RunStage::kStopping;
-    placed->confirmed_at = workload::SteadyTime::max();
-    SendStop(worker, run);
-  }
-
   // Whether a start that was sent can be repeated once its worker, which has restarted, has shown
   // its lists.
   bool IsAwaitingRestartedWorker(const workload::PlannedStart& start) const {
@@ -255,43 +175,9 @@
     }
   }
 
-  // Whether a worker has answered an order, if only to refuse it.
-  static bool IsAnswered(OrderStatus status) {
-    return status != OrderStatus::kUnknown && status != OrderStatus::kUnreachable;
-  }
-
-  void NoteAnswer(const std::string& worker, OrderStatus status) {
-    const auto link = core_.links.find(worker);
-    if (link != core_.links.end() && IsAnswered(status)) {
-      link->second.order_silence.OnAnswered();
-    }
-  }
-
-  // Notes that an order that will be repeated had no answer. A worker that does not answer polls
-  // either is cut off, and its lease is not extended anyway.
-  void NoteSilence(const std::string& worker) {
-    const auto it = core_.links.find(worker);
-    if (it == core_.links.end()) {
-      return;
-    }
-    OrderSilence& silence = it->second.order_silence;
-    const bool was_lasting = silence.IsLasting();
-    if (it->second.failures == 0) {
-      silence.OnUnanswered(core_.port.Now());
-    }
-    if (!silence.IsLasting()) {
-      return;
-    }
-    core_.BackOff(worker, OwnerTiming::kLongBackoff);
-    if (!was_lasting) {
-      logging::LogEvent(logging::LogLevel::kWarning, "worker_answers_no_orders",
-                        {{"worker", worker}, {"runs", core_.workers[worker].runs.size()}});
-    }
-  }
-
   // Repeats a start without an answer, unless its worker answers no orders at all.
   void RepeatUnanswered(const workload::PlannedStart& start) {
-    NoteSilence(start.worker);
+    contact_.NoteSilence(start.worker);
     if (core_.links[start.worker].order_silence.IsLasting()) {
       CancelStart(start, "the worker answers no orders");
     } else {
@@ -308,7 +194,7 @@
   }
 
   void OnStartAnswer(const workload::PlannedStart& start, const OrderAnswer& answer) {
-    NoteAnswer(start.worker, answer.status);
+    contact_.NoteAnswer(start.worker, answer.status);
     workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
     if (run == nullptr) {
       return;
@@ -362,7 +248,7 @@
     if (run != nullptr && run->start_copies.MayArrive()) {
       LogStart("start_called_off", start, reason);
       // An earlier order may still arrive; the stop makes the worker refuse it.
-      OrderStop(start.worker, start.run.run);
+      stops_.OrderStop(start.worker, start.run.run);
     } else {
       ReleaseUnstartedRun(start.worker, start.run.run, reason);
     }
@@ -377,7 +263,7 @@
   }
 
   void RetryStart(const workload::PlannedStart& start) {
-    core_.port.After(kOrderRetryDelay, core_.Guard([this, start] {
+    core_.port.After(OwnerTiming::kOrderRetryDelay, core_.Guard([this, start] {
       const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
       if (run == nullptr || run->stage != workload::RunStage::kStarting) {
         return;
@@ -412,74 +298,13 @@
                        {"worker", worker},
                        {"reason", reason}});
     core_.workers[worker].Remove(run);
-    BreakGang(run);
+    stops_.BreakGang(run);
     core_.schedule_plan();
   }
 
-  void SendStop(const std::string& worker, const workload::TaskRun& run) {
-    if (core_.workers[worker].info.address.empty()) {
-      // An adopted run on a worker whose entry has not been read yet.
-      RetryStop(worker, run);
-      return;
-    }
-    core_.Order(
-        worker, Platform::StopRequest({run, core_.options.epoch}, worker),
-        [this, worker, run](const OrderAnswer& answer) { OnStopAnswer(worker, run, answer); });
-    core_.poll_worker(worker);
-  }
-
-  void OnStopAnswer(const std::string& worker, const workload::TaskRun& run,
-                    const OrderAnswer& answer) {
-    NoteAnswer(worker, answer.status);
-    if (!IsAnswered(answer.status)) {
-      NoteSilence(worker);
-    }
-    workload::PlacedRun* placed = core_.FindRun(worker, run);
-    const bool is_confirmed =
-        answer.status == OrderStatus::kDone || answer.status == OrderStatus::kSuperseded;
-    if (placed != nullptr && is_confirmed) {
-      placed->confirmed_at = core_.port.Now();
-      if (placed->start_copies.WereSentBefore(core_.links[worker].incarnation_began_at)) {
-        placed->start_copies.OnRefusedAfterRestart();
-      }
-      core_.poll_worker(worker);
-    } else if (!is_confirmed) {
-      RetryStop(worker, run);
-    }
-  }
-
-  bool MustRepeatStop(const std::string& worker, const workload::TaskRun& run) {
-    if (core_.FindRun(worker, run) != nullptr) {
-      return true;
-    }
-    const auto link = core_.links.find(worker);
-    return link != core_.links.end() && link->second.order_silence.IsProbedBy(run);
-  }
-
-  void RetryStop(const std::string& worker, const workload::TaskRun& run) {
-    core_.port.After(kOrderRetryDelay, core_.Guard([this, worker, run] {
-      if (MustRepeatStop(worker, run)) {
-        SendStop(worker, run);
-      }
-    }));
-  }
-
-  template <class Predicate>
-  void StopRunsWhere(Predicate matches) {
-    std::vector<std::pair<std::string, workload::TaskRun>> found;
-    for (const auto& [id, worker] : core_.workers) {
-      for (const auto& [run, placed] : worker.runs) {
-        if (matches(placed)) {
-          found.emplace_back(id, run);
-        }
-      }
-    }
-    for (const auto& [worker, run] : found) {
-      OrderStop(worker, run);
-    }
-  }
-
   OwnerCore<Platform, Port>& core_;
+  OrderContact<Platform, Port>& contact_;
+  RunStops<Platform, Port>& stops_;
   GangContact<Platform, Port> gangs_;
 };
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -15,8 +15,9 @@
 #include "clementineloom/workload/urgent_demand.h"
 #include "codec/task_name.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/run_starts.h"
+#include "entry/owner/run_stops.h"
 #include "entry/owner/step_wait_log.h"
-#include "entry/owner/worker_orders.h"
 
 namespace clementineloom::entry {
 
@@ -25,8 +26,9 @@
 template <class Platform, CallPort Port>
 class TaskPlacement {
  public:
-  TaskPlacement(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders)
-      : core_(core), orders_(orders) {}
+  TaskPlacement(OwnerCore<Platform, Port>& core, RunStarts<Platform, Port>& starts,
+                RunStops<Platform, Port>& stops)
+      : core_(core), starts_(starts), stops_(stops) {}
 
   /// @brief Schedules a plan after a short delay; all events until then share it.
   void SchedulePlan() {
@@ -154,7 +156,7 @@
                        {"run", preemption.run.run},
                        {"worker", preemption.worker},
                        {"for", codec::TaskName(preemption.beneficiary)}});
-    orders_.StopEarly(preemption.worker, preemption.run, "preempted");
+    stops_.StopEarly(preemption.worker, preemption.run, "preempted");
   }
 
   void RecordStarts(std::vector<workload::PlannedStart> starts) {
@@ -216,7 +218,7 @@
       return;
     }
     run->stage = workload::RunStage::kStarting;
-    orders_.OrderStart(start);
+    starts_.OrderStart(start);
   }
 
   void RequestAdvice(const workload::AdviceQuestion& question) {
@@ -239,7 +241,8 @@
   }
 
   OwnerCore<Platform, Port>& core_;
-  WorkerOrders<Platform, Port>& orders_;
+  RunStarts<Platform, Port>& starts_;
+  RunStops<Platform, Port>& stops_;
   // Capacity that the last plan reserved for waiting urgent tasks.
   std::vector<workload::RoomClaim> claims_;
   // By service; the room that less urgent work leaves free follows it.
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -17,7 +17,8 @@
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
-#include "entry/owner/worker_orders.h"
+#include "entry/owner/run_starts.h"
+#include "entry/owner/run_stops.h"
 #include "entry/worker/renew_order.h"
 #include "entry/worker/worker_lists.h"
 
@@ -32,11 +33,13 @@
 template <class Platform, CallPort Port>
 class WorkerPoller {
  public:
-  WorkerPoller(OwnerCore<Platform, Port>& core, WorkerOrders<Platform, Port>& orders,
-               RunEnds<Platform, Port>& ends, LateStarts<Platform, Port>& late_starts,
-               FillPacing<Platform, Port>& pacing, LeaseWithholding<Platform, Port>& withholding)
+  WorkerPoller(OwnerCore<Platform, Port>& core, RunStarts<Platform, Port>& starts,
+               RunStops<Platform, Port>& stops, RunEnds<Platform, Port>& ends,
+               LateStarts<Platform, Port>& late_starts, FillPacing<Platform, Port>& pacing,
+               LeaseWithholding<Platform, Port>& withholding)
       : core_(core),
-        orders_(orders),
+        starts_(starts),
+        stops_(stops),
         ends_(ends),
         late_starts_(late_starts),
         pacing_(pacing),
@@ -151,7 +154,7 @@
     ++link.restarts;
     link.incarnation_began_at = core_.port.Now();
     core_.workers[id].is_attached = false;
-    orders_.OnRestart(id);
+    starts_.OnRestart(id);
   }
 
   // Asks a worker when it started, beside the poll that may still wait for an answer of an earlier
@@ -375,7 +378,7 @@
                          {"run", item.run.run},
                          {"worker", id},
                          {"life", core_.links[id].started_at_ms}});
-      orders_.StopUnrecorded(id, item.run);
+      stops_.StopUnrecorded(id, item.run);
       return;
     }
     WorkerLink& link = core_.links[id];
@@ -401,7 +404,7 @@
       run->confirmed_at = core_.port.Now();
       const workload::JobEntry* job = core_.jobs.Find(item.run.task.step.job);
       if (job == nullptr || !job->IsOpen()) {
-        orders_.OrderStop(id, item.run);
+        stops_.OrderStop(id, item.run);
       }
     }
   }
@@ -427,7 +430,7 @@
                          {"worker", id},
                          {"percent", percent}});
       core_.BackOff(id, OwnerTiming::kLongBackoff);
-      orders_.StopEarly(id, run.run, "stalled");
+      stops_.StopEarly(id, run.run, "stalled");
     }
   }
 
@@ -452,13 +455,13 @@
     }
     const workload::SteadyTime incarnation_began_at = core_.links[id].incarnation_began_at;
     for (const workload::PlacedRun& it : missing) {
-      if (orders_.IsKeptForFormerOrder(id, it, sent_at)) {
+      if (starts_.IsKeptForFormerOrder(id, it, sent_at)) {
         // An incarnation that refuses the run is not asked twice.
         if (it.is_adopted || it.confirmed_at < incarnation_began_at) {
-          orders_.OrderAgain(id, it.run);
+          starts_.OrderAgain(id, it.run);
         }
       } else if (it.start_copies.MayArrive() && it.confirmed_at < incarnation_began_at) {
-        orders_.RefuseAfterRestart(id, it.run);
+        stops_.RefuseAfterRestart(id, it.run);
       } else if (!late_starts_.IsHeld(it, sent_at)) {
         ends_.ApplyEnd(id, it.run, workload::EndReason::kLapsed, it.checkpoint, records);
       }
@@ -466,7 +469,8 @@
   }
 
   OwnerCore<Platform, Port>& core_;
-  WorkerOrders<Platform, Port>& orders_;
+  RunStarts<Platform, Port>& starts_;
+  RunStops<Platform, Port>& stops_;
   RunEnds<Platform, Port>& ends_;
   LateStarts<Platform, Port>& late_starts_;
   FillPacing<Platform, Port>& pacing_;
