Share the set-up of the gang tests and correct a comment

Cause: three tests repeated the same lines; a comment of GangContact gave the reason the wrong way round. Ruled out: nothing; no assertion changes. Change: GangEndTest::EndWithoutOwner, the comment, a static function called by its class.

--- a/src/entry/owner/gang_contact.h
+++ b/src/entry/owner/gang_contact.h
@@ -29,7 +29,7 @@
     if (!run.missed_at || spec == nullptr || !spec->is_gang) {
       return false;
     }
-    // A worker that is heard now has not restarted within this time.
+    // By then the earlier incarnation had ended: a restart takes longer.
     const workload::SteadyTime since = *run.missed_at - OwnerTiming::kIncarnationKnownFor;
     bool are_all_heard = true;
     for (const auto& [id, other] : core_.workers) {
--- a/src/entry/owner/run_stops.h
+++ b/src/entry/owner/run_stops.h
@@ -115,7 +115,7 @@
   void OnStopAnswer(const std::string& worker, const workload::TaskRun& run,
                     const OrderAnswer& answer) {
     contact_.NoteAnswer(worker, answer.status);
-    if (!contact_.IsAnswered(answer.status)) {
+    if (!OrderContact<Platform, Port>::IsAnswered(answer.status)) {
       contact_.NoteSilence(worker);
     }
     workload::PlacedRun* placed = core_.FindRun(worker, run);
--- a/tests/entry/gang_end_test.cc
+++ b/tests/entry/gang_end_test.cc
@@ -16,6 +16,7 @@
 constexpr const char* kJob = "00000000000000a1";
 constexpr const char* kFirst = "00000000000000a1.0.0.0";
 constexpr const char* kSecond = "00000000000000a1.0.0.1";
+constexpr const char* kNextStep = "00000000000000a1.0.1.0";
 // A gang of which each member takes a whole worker, and a step that keeps the job open.
 constexpr const char* kGangThenTask =
     R"([{"count":2,"cpu":8000,"memMb":10,"gpus":8,"gang":true},)"
@@ -24,8 +25,8 @@
 constexpr Milliseconds kUntilDone{kRunTime + Milliseconds(200)};
 constexpr int kOk = 200;
 
-// A gang that is done while the answers of one member's worker are lost; that worker restarts
-// behind the cut.
+// A gang that is done before its owner, or the next one, knows that all members have started; a
+// worker of it restarts.
 class GangEndTest : public ClusterTest {
  protected:
   GangEndTest() {
@@ -39,6 +40,17 @@
     cluster_.RunFor(Milliseconds(100));
     ASSERT_EQ(cluster_.StartsOf(kFirst) + cluster_.StartsOf(kSecond), 2);
   }
+  // The gang ends while there is no owner, and one of its workers restarts after it.
+  void EndWithoutOwner(StandInWorker& restarted) {
+    SubmitGang();
+    cluster_.RunFor(kRunTime - Milliseconds(200));
+    cluster_.Kill(owner_);
+    cluster_.RunFor(Milliseconds(200));
+    ASSERT_EQ(cluster_.RunningCount(), 0U);
+    restarted.Restart();
+    cluster_.Register(restarted);
+    cluster_.Register(spare_);
+  }
   void ExpectOneStartOfEachMember() {
     EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(30'000)));
     EXPECT_EQ(cluster_.StartsOf(kFirst), 1);
@@ -59,7 +71,7 @@
   SubmitGang();
   cluster_.Register(spare_);
   cluster_.RunFor(kUntilDone);
-  ASSERT_EQ(cluster_.WorkersRunning("00000000000000a1.0.1.0").size(), 1U);
+  ASSERT_EQ(cluster_.WorkersRunning(kNextStep).size(), 1U);
   cut.Restart();
   cluster_.port(owner_).Heal(cut.address());
   ExpectOneStartOfEachMember();
@@ -68,40 +80,19 @@
 // Guards against the same across a change of owner: the successor learned from one worker that the
 // gang is done, and repeated the start of the member that the other one no longer has.
 TEST_F(GangEndTest, Member_MissingAtATakeover_IsNotOrderedOnceTheGangIsDone) {
-  SubmitGang();
-  cluster_.RunFor(kRunTime - Milliseconds(200));
-  cluster_.Kill(owner_);
-  cluster_.RunFor(Milliseconds(200));
-  ASSERT_EQ(cluster_.RunningCount(), 0U);
-  cluster_.workers[1]->Restart();
-  cluster_.Register(*cluster_.workers[1]);
-  cluster_.Register(spare_);
+  EndWithoutOwner(*cluster_.workers[1]);
   ExpectOneStartOfEachMember();
 }
 
 // Guards against the same where the successor hears of the restarted worker first.
 TEST_F(GangEndTest, Member_MissingAtATakeover_IsNotOrderedBeforeTheGangIsKnownNotToBeDone) {
-  SubmitGang();
-  cluster_.RunFor(kRunTime - Milliseconds(200));
-  cluster_.Kill(owner_);
-  cluster_.RunFor(Milliseconds(200));
-  ASSERT_EQ(cluster_.RunningCount(), 0U);
-  cluster_.workers[0]->Restart();
-  cluster_.Register(*cluster_.workers[0]);
-  cluster_.Register(spare_);
+  EndWithoutOwner(*cluster_.workers[0]);
   ExpectOneStartOfEachMember();
 }
 
 // Guards against the same where the worker that lists the end of the gang answers much later.
 TEST_F(GangEndTest, Member_MissingAtATakeover_WaitsForTheWorkersOfTheOtherMembers) {
-  SubmitGang();
-  cluster_.RunFor(kRunTime - Milliseconds(200));
-  cluster_.Kill(owner_);
-  cluster_.RunFor(Milliseconds(200));
-  ASSERT_EQ(cluster_.RunningCount(), 0U);
-  cluster_.workers[0]->Restart();
-  cluster_.Register(*cluster_.workers[0]);
-  cluster_.Register(spare_);
+  EndWithoutOwner(*cluster_.workers[0]);
   cluster_.workers[1]->DelayAnswersOf("/hold", Milliseconds(500));
   ExpectOneStartOfEachMember();
 }
