--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -7,7 +7,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <chrono>
 #include <memory>
+#include <numeric>
 
 #include "fakes/query.h"
 #include "platform/record_format.h"
@@ -114,13 +116,36 @@
   }
 }
 
+int StandInStore::AppendsOf(const std::string& prefix) const {
+  return std::accumulate(arrived_appends_.begin(), arrived_appends_.end(), 0,
+                         [&](int sum, const auto& it) {
+                           return sum + (it.first.starts_with(prefix) ? it.second : 0);
+                         });
+}
+
+void StandInStore::Enqueue(const net::HttpRequest& request, const SimWorld::Reply& reply) {
+  Topic& topic = topics_[TextOf(request.target, "topic")];
+  if (topic.appends_done_at > world_.now() + kMaxQueueTime) {
+    reply(Json(503, {}));
+    return;
+  }
+  topic.appends_done_at = std::max(topic.appends_done_at, world_.now()) + append_time_;
+  const auto wait = std::chrono::ceil<workload::Milliseconds>(topic.appends_done_at - world_.now());
+  world_.After(wait, [this, request, reply] { Append(request.target, request.body, reply); });
+}
+
 void StandInStore::ScheduleAppend(const net::HttpRequest& request, const SimWorld::Reply& reply) {
   if (HoldIfRequested(request)) {
     return;
   }
   const std::string producer = TextOf(request.target, "producer");
+  ++arrived_appends_[producer];
   const auto slow = std::find_if(slow_producers_.begin(), slow_producers_.end(),
                                  [&](const auto& it) { return producer.starts_with(it.first); });
+  if (slow == slow_producers_.end() && append_time_.count() > 0) {
+    Enqueue(request, reply);
+    return;
+  }
   if (slow == slow_producers_.end()) {
     Append(request.target, request.body, reply);
     return;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -45,6 +45,12 @@
   void DelayAppendsOf(const std::string& prefix, workload::Milliseconds delay) {
     slow_producers_[prefix] = {false, delay};
   }
+  /// @brief Carries out the appends of a topic one at a time, each in the given time, and refuses
+  /// an append while more than kMaxQueueTime of them waits, as the platform's store does. Zero ends
+  /// it.
+  void QueueAppends(workload::Milliseconds append_time) { append_time_ = append_time; }
+  /// @brief Number of appends of producers whose names have the prefix that arrived.
+  [[nodiscard]] int AppendsOf(const std::string& prefix) const;
   /// @brief Adds a delay to every call.
   void SlowDown(workload::Milliseconds delay) { delay_ = delay; }
   /// @brief Applies the next `count` appends without answering them.
@@ -75,6 +81,7 @@
  private:
   // Appends of a producer whose retries are recognised; a retry of an older one is refused.
   static constexpr std::size_t kRememberedAppends = 5;
+  static constexpr workload::Milliseconds kMaxQueueTime{2'000};
 
   struct Producer {
     std::uint64_t epoch = 0;
@@ -100,6 +107,8 @@
     std::uint64_t first = 0;
     std::map<std::string, Producer> producers;
     std::list<std::shared_ptr<Waiter>> waiters;
+    // When the last append that waits or is being carried out will be done.
+    workload::SteadyTime appends_done_at;
   };
 
   void Handle(const net::HttpRequest& request, SimWorld::Reply reply);
@@ -108,6 +117,8 @@
   bool HoldIfRequested(const net::HttpRequest& request);
   // Applies an append, unless a fault of its producer holds, delays or refuses it.
   void ScheduleAppend(const net::HttpRequest& request, const SimWorld::Reply& reply);
+  // Carries out an append after those that wait, or refuses it if too many wait.
+  void Enqueue(const net::HttpRequest& request, const SimWorld::Reply& reply);
   void Append(const std::string& target, const std::string& body, const SimWorld::Reply& reply);
   void Read(const std::string& target, SimWorld::Reply reply);
   void SendSnapshotPage(const std::string& target, const SimWorld::Reply& reply);
@@ -121,6 +132,9 @@
   std::map<std::string, SlowProducer> slow_producers_;
   std::map<std::string, int> held_producers_;
   std::vector<HeldAppend> held_;
+  // Appends that arrived, by producer.
+  std::map<std::string, int> arrived_appends_;
+  workload::Milliseconds append_time_{0};
   std::size_t page_keys_ = 500;
   workload::Milliseconds page_delay_{0};
   std::size_t batch_records_ = 10'000;
