Wait for an owner that is alive before recording without it

What callers saw: beside a store 52 times slower, four to eighteen jobs accepted in seven seconds where 25 a second were before; 504 for most others; then jobs that nobody waited for. Cause: an instance gave up on the owner after a fixed 600 ms, which is less than two appends of a slow store, the longest that a living owner needs. It then appended by itself, asked up to four peers, which appended too, and asked the owner no more for a second. The appends of all instances filled the two seconds that the store holds of them, so that the owner's records came later still, until the instances took it for dead. The class: a fixed timeout in front of a shared resource whose expiry adds load to that resource (a metastable overload). Ruled out: hypothesis 2, a starved owner: the same storm without charged processor time, and in a test without load. Hypothesis 3, acceptance behind the records of ends: the first submissions that are given up on were recorded 68 ms later. Change: an owner without an answer is asked every 300 ms whether it is alive, and waited for while it is. An owner that does not answer that question within 300 ms, or has lost the store, is replaced by the instance's own append, as before after 600 ms.

--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -33,7 +33,8 @@
 ///
 /// A record goes to the owner, which batches those of all instances, since a slow store handles
 /// only a few appends per second. Without an owner that can be asked, or if it fails, this instance
-/// appends the record itself, and after a while asks its peers as well.
+/// appends the record itself, and after a while asks its peers as well. An owner that is only slow
+/// to record is waited for: appends of many instances would delay its records further.
 /// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
 class JobRecorder {
@@ -69,7 +70,7 @@
     Await(request.id, call);
     const std::string owner = hooks_.owner();
     if (!PeerRouter<Port>::IsForwarded(request.request) && peers_.IsAvailable(owner)) {
-      RecordByOwner(request, record, owner);
+      RecordByOwner(request, record, owner, workload::Milliseconds(call.timeout_ms));
     } else {
       RecordHere(request, record);
     }
@@ -80,39 +81,85 @@
   static constexpr workload::Milliseconds kAnswerMargin{150};
   // Time after which a request whose append has no answer yet is forwarded to peers as well.
   static constexpr workload::Milliseconds kPeerFallbackDelay{350};
+  // Time without the owner's answer after which it is asked whether it is alive, again and again.
+  static constexpr workload::Milliseconds kOwnerCheckDelay{300};
 
   static bool IsSubmission(const workload::WorkloadRecord& record) {
     return std::holds_alternative<workload::SubmissionSet>(record);
   }
 
+  // Time for which a call may be processed before it is answered.
+  static workload::Milliseconds AnswerTime(const AdmittedCall& call) {
+    return std::max(workload::Milliseconds(call.timeout_ms) - kAnswerMargin,
+                    workload::Milliseconds(0));
+  }
+
   void Await(net::ExchangeId exchange, const AdmittedCall& call) {
     waiting_[exchange].job = call.job;
-    port_.After(std::max(workload::Milliseconds(call.timeout_ms) - kAnswerMargin,
-                         workload::Milliseconds(0)),
-                [this, exchange] { OnAnswerDeadline(exchange); });
+    port_.After(AnswerTime(call), [this, exchange] { OnAnswerDeadline(exchange); });
   }
 
   void RecordByOwner(const net::ServerRequest& request, const workload::WorkloadRecord& record,
-                     const std::string& owner) {
+                     const std::string& owner, workload::Milliseconds timeout) {
     WaitingRecord& waiting = waiting_.at(request.id);
     waiting.is_forwarded = true;
     waiting.asked_owner = owner;
-    peers_.ForwardTo(owner, request.request, [this, request, record, owner](PeerOutcome outcome) {
-      OnOwnerAnswer(request, record, owner, std::move(outcome));
+    peers_.ForwardTo(owner, request.request, timeout,
+                     [this, request, record, owner](PeerOutcome outcome) {
+                       OnOwnerAnswer(request, record, owner, std::move(outcome));
+                     });
+    CheckOwnerLater(request, record, owner);
+  }
+
+  void CheckOwnerLater(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                       const std::string& owner) {
+    port_.After(kOwnerCheckDelay, [this, request, record, owner] {
+      if (AwaitsOwner(request.id)) {
+        peers_.CheckAlive(owner, [this, request, record, owner](bool is_alive) {
+          OnOwnerChecked(request, record, owner, is_alive);
+        });
+      }
     });
   }
 
+  [[nodiscard]] bool AwaitsOwner(net::ExchangeId exchange) const {
+    const auto it = waiting_.find(exchange);
+    return it != waiting_.end() && !it->second.asked_owner.empty();
+  }
+
+  void OnOwnerChecked(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                      const std::string& owner, bool is_alive) {
+    if (!AwaitsOwner(request.id)) {
+      return;
+    }
+    if (is_alive) {
+      CheckOwnerLater(request, record, owner);
+    } else {
+      RecordInPlaceOfOwner(request, record, AttemptHistory().With(RunState::kMayHaveRun));
+    }
+  }
+
+  // Precondition: the request waits for the owner.
+  void RecordInPlaceOfOwner(const net::ServerRequest& request,
+                            const workload::WorkloadRecord& record,
+                            const AttemptHistory& attempts) {
+    WaitingRecord& waiting = waiting_.at(request.id);
+    waiting.is_forwarded = false;
+    waiting.asked_owner.clear();
+    waiting.history = waiting.history.With(attempts);
+    RecordHere(request, record);
+  }
+
   void OnOwnerAnswer(const net::ServerRequest& request, const workload::WorkloadRecord& record,
                      const std::string& owner, PeerOutcome outcome) {
     const auto it = waiting_.find(request.id);
     if (it == waiting_.end()) {
       return;
     }
-    it->second.is_forwarded = false;
-    it->second.asked_owner.clear();
     if (!outcome.is_success()) {
-      it->second.history = it->second.history.With(outcome.history);
-      RecordHere(request, record);
+      if (AwaitsOwner(request.id)) {
+        RecordInPlaceOfOwner(request, record, outcome.history);
+      }
       return;
     }
     logging::LogEvent(logging::LogLevel::kInfo, "job_recorded_by_owner",
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -68,7 +68,8 @@
   /// Done runs once, never before Forward returns.
   /// @param view_age age of this instance's view of the store
   void Forward(const net::HttpRequest& request, workload::Milliseconds view_age, Done done) {
-    Try({Forwarded(request), Candidates(), 0, {}, port_.Now() - view_age, std::move(done)});
+    Try({Forwarded(request), Candidates(), 0, {}, port_.Now() - view_age, kTimeout,
+         std::move(done)});
   }
 
   /// @brief Whether a peer is known and has not failed within the owner back-off.
@@ -80,9 +81,26 @@
   /// @brief Forwards a request to one peer, whatever the age of its view of the store.
   ///
   /// Done runs once, never before ForwardTo returns. Precondition: IsAvailable(peer).
-  void ForwardTo(const std::string& peer, const net::HttpRequest& request, Done done) {
+  /// @param timeout time after which the attempt ends without an answer
+  void ForwardTo(const std::string& peer, const net::HttpRequest& request,
+                 workload::Milliseconds timeout, Done done) {
     // No further candidates: if this peer does not take the request, the attempt ends.
-    Send(peer, {Forwarded(request), {}, 0, {}, {}, std::move(done)});
+    Send(peer, {Forwarded(request), {}, 0, {}, {}, timeout, std::move(done)});
+  }
+
+  /// @brief Asks a peer whether it is at work and reaches the store. A peer without an answer, or
+  /// without the store, counts as failed.
+  ///
+  /// Done runs once, never before CheckAlive returns. Precondition: the peer is known.
+  void CheckAlive(const std::string& peer, std::function<void(bool)> done) {
+    port_.Call(peers_.at(peer).address, Probe(), kAliveTimeout,
+               lifetime_.Wrap([this, peer, done = std::move(done)](const net::ClientResult& it) {
+                 const bool is_alive = it.response && it.response->status == kOk;
+                 if (!is_alive) {
+                   NoteFailure(peer);
+                 }
+                 done(is_alive);
+               }));
   }
 
  private:
@@ -90,6 +108,8 @@
   static constexpr const char* kProbeHeader = "X-Loom-View-Age";
   static constexpr workload::Milliseconds kTimeout{600};
   static constexpr workload::Milliseconds kProbeTimeout{150};
+  // Longer than the decision thread of a peer is busy with a plan.
+  static constexpr workload::Milliseconds kAliveTimeout{300};
   static constexpr std::size_t kMaxAttempts = 4;
   // Minimum by which a peer's view must be newer. More than the views of two instances differ when
   // both lose the store at the same time.
@@ -118,9 +138,15 @@
     AttemptHistory history;
     // When this instance last read the store, for comparison with the peers' views.
     workload::SteadyTime last_read_at;
+    // How long each peer has to answer.
+    workload::Milliseconds timeout{0};
     Done done;
   };
 
+  static net::HttpRequest Probe() {
+    return {"GET", "/", net::HttpHeaders().With(kProbeHeader, "?"), {}};
+  }
+
   net::HttpRequest Forwarded(net::HttpRequest request) const {
     request.headers = request.headers.With(kForwardedHeader, instance_);
     return request;
@@ -154,8 +180,7 @@
       return;
     }
     const std::string peer = attempt.peers[attempt.next++];
-    net::HttpRequest probe{"GET", "/", net::HttpHeaders().With(kProbeHeader, "?"), {}};
-    port_.Call(peers_.at(peer).address, std::move(probe), kProbeTimeout,
+    port_.Call(peers_.at(peer).address, Probe(), kProbeTimeout,
                lifetime_.Wrap([this, peer, attempt](const net::ClientResult& result) {
                  OnProbe(peer, attempt, result);
                }));
@@ -176,7 +201,7 @@
   }
 
   void Send(const std::string& peer, const Attempt& attempt) {
-    port_.Call(peers_.at(peer).address, attempt.request, kTimeout,
+    port_.Call(peers_.at(peer).address, attempt.request, attempt.timeout,
                lifetime_.Wrap([this, peer, attempt](const net::ClientResult& answer) {
                  OnAnswer(peer, attempt, answer);
                }));
