Let the timeout of an append follow the time in which the store answers

What callers saw: 504 and not-ready instances for two seconds after a slow store had recovered. Cause: an append without an answer was sent again after a second, while a store that takes one append at a time may hold it for two. The copy took a second place, its refusal left the outcome open, and the appender sent nothing else: in the incident one append of the owner's instance, sent at 11.66 s, was settled at 18.12 s. Ruled out: a longer constant: an answer that a fast store loses would keep the owner silent beyond its timeout.

--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -14,6 +15,7 @@
 #include "entry/port/lifetime_guard.h"
 #include "entry/store/append_answer.h"
 #include "entry/store/append_order.h"
+#include "entry/store/append_timeout.h"
 #include "entry/store/appender_options.h"
 #include "entry/store/store_endpoint.h"
 #include "logging/event_log.h"
@@ -62,7 +64,6 @@
   [[nodiscard]] bool is_retrying() const { return is_busy_ && failures_ > 0; }
 
  private:
-  static constexpr workload::Milliseconds kCallTimeout{1'000};
   static constexpr workload::Milliseconds kFirstRetryDelay{50};
   static constexpr workload::Milliseconds kMaxRetryDelay{400};
 
@@ -104,8 +105,8 @@
 
   void Send() {
     sent_at_ = port_.Now();
-    port_.Call(endpoint_.address, Platform::AppendRequest(endpoint_.topic, order_), kCallTimeout,
-               lifetime_.Wrap([this](const net::ClientResult& result) {
+    port_.Call(endpoint_.address, Platform::AppendRequest(endpoint_.topic, order_),
+               timeout_.length(), lifetime_.Wrap([this](const net::ClientResult& result) {
                  OnAnswer(Platform::ParseAppend(result));
                }));
   }
@@ -116,6 +117,8 @@
         (answer.status == AppendStatus::kRefused && (is_outcome_open_ || options_.retries_refused));
     if (answer.status == AppendStatus::kAppended) {
       confirmed_at_ = sent_at_;
+      timeout_ =
+          timeout_.WithAnswer(std::chrono::ceil<workload::Milliseconds>(port_.Now() - sent_at_));
     }
     if (!is_open) {
       Finish(answer.status, 1);
@@ -190,6 +193,7 @@
   // Whether the append in flight may already have been carried out.
   bool is_outcome_open_ = false;
   std::uint32_t failures_ = 0;
+  AppendTimeout timeout_;
   workload::SteadyTime first_sent_at_;
   // When the call in flight was sent.
   workload::SteadyTime sent_at_;
