--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -135,6 +135,8 @@
     if (is_alive) {
       CheckOwnerLater(request, record, owner);
     } else {
+      logging::LogEvent(logging::LogLevel::kWarning, "owner_given_up",
+                        {{"job", waiting_.at(request.id).job}, {"owner", owner}});
       RecordInPlaceOfOwner(request, record, AttemptHistory().With(RunState::kMayHaveRun));
     }
   }
