--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -68,7 +68,12 @@
   /// Done runs once, never before Forward returns.
   /// @param view_age age of this instance's view of the store
   void Forward(const net::HttpRequest& request, workload::Milliseconds view_age, Done done) {
-    Try({Forwarded(request), Candidates(), 0, {}, port_.Now() - view_age, kTimeout,
+    Try({Forwarded(request),
+         Candidates(),
+         0,
+         {},
+         port_.Now() - view_age,
+         kTimeout,
          std::move(done)});
   }
 
