Start nothing while the workers' entries are not read

What could be seen: a run that starts on a worker seconds after its drain was stored (DRAIN). Cause: before each start the owner asked whether its view of the operators' items is recent, but not whether the one of the workers' entries is. An owner whose reads of that topic have no answers, or wait for a busy thread, started on workers that had begun to drain. The class: acting on a permission that may have run out meanwhile. Ruled out: that the check of each order covers it: it asks the same old view. Change: the directory reports up to when the entries are known; older than 2 s, nothing is placed or started.

--- a/src/entry/election/ownership.h
+++ b/src/entry/election/ownership.h
@@ -7,6 +7,7 @@
 
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/recent_starts.h"
+#include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_info.h"
 #include "entry/election/owner_producer.h"
 #include "entry/metric_specs.h"
@@ -100,7 +101,8 @@
 
   typename WorkerDirectory<Platform, Port>::Sink WorkerSink() {
     return {[this](const workload::WorkerInfo& it) { owner_->OnWorker(it); },
-            [this](const std::string& id) { owner_->OnWorkerGone(id); }};
+            [this](const std::string& id) { owner_->OnWorkerGone(id); },
+            [this](workload::SteadyTime until) { owner_->OnWorkersRead(until); }};
   }
 
   Port& port_;
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -102,6 +102,10 @@
                       {{"worker", id}, {"runs", it->second.runs.size()}});
   }
 
+  /// @brief Handles a read of the workers' entries.
+  /// @param until time up to which all entries are known
+  void OnWorkersRead(workload::SteadyTime until) { core_.workers_known_until = until; }
+
   /// @brief Handles new submissions and cancellations.
   void OnJobsChanged() {
     StopCancelled();
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -127,11 +128,13 @@
     return placed == it->second.runs.end() ? nullptr : &placed->second;
   }
 
-  /// @brief Whether the view of the operators' items is current, and ownership was confirmed since
-  /// the process was last suspended. Without that, nothing is placed or started.
+  /// @brief Whether the views of the operators' items and of the workers' entries are current, and
+  /// ownership was confirmed since the process was last suspended. Without that, nothing is placed
+  /// or started.
   [[nodiscard]] bool HasCurrentView() const {
     const workload::SteadyTime now = port.Now();
-    return operators.IsCurrent(now) && suspension.IsConfirmedSince(confirmed_at, now);
+    return operators.IsCurrent(now) && KnowsWorkers(now) &&
+           suspension.IsConfirmedSince(confirmed_at, now);
   }
 
   /// @brief Whether a task may be ordered to start on a worker: it is in service, its data centre
@@ -212,6 +215,8 @@
   metrics::MetricRegistry& metrics;
   const OwnerOptions options;
   workload::WorkerPool workers;
+  /// Time up to which all entries of workers are known; empty before the first read.
+  std::optional<workload::SteadyTime> workers_known_until;
   std::map<std::string, WorkerLink> links;
   workload::WorkerSilence silence;
   workload::AdviceCache advice;
@@ -228,6 +233,14 @@
   bool is_lost = false;
 
  private:
+  // Longer than two long polls of the store, and at most the time for which a worker that drains
+  // takes runs: an older view may lack a drain.
+  static constexpr workload::Milliseconds kMaxWorkersAge{2'000};
+
+  [[nodiscard]] bool KnowsWorkers(workload::SteadyTime now) const {
+    return workers_known_until && now - *workers_known_until <= kMaxWorkersAge;
+  }
+
   // @param restarts number of known restarts of the worker at an earlier time
   [[nodiscard]] bool HasRestarted(const std::string& worker, std::uint32_t restarts) const {
     const auto link = links.find(worker);
--- a/src/entry/owner/worker_directory.h
+++ b/src/entry/owner/worker_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "clementineloom/errors/result.h"
+#include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_info.h"
 #include "entry/store/topic_follower.h"
 
@@ -26,6 +27,8 @@
   struct Sink {
     std::function<void(const workload::WorkerInfo&)> on_worker;
     std::function<void(const std::string&)> on_gone;
+    /// Runs after the changes of each read, with the time up to which all entries are known.
+    std::function<void(workload::SteadyTime)> on_read;
   };
 
   WorkerDirectory(Port& port, StoreEndpoint endpoint, Sink sink)
@@ -69,6 +72,7 @@
     for (const TopicItem& it : items) {
       ApplyEntry(it.item);
     }
+    sink_.on_read(follower_.complete_until());
   }
 
   void ApplyEntry(const workload::KeyedValue& item) {
--- a/tests/entry/start_recheck_test.cc
+++ b/tests/entry/start_recheck_test.cc
@@ -128,5 +128,26 @@
   EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(5'000)));
 }
 
+// Guards against starts on a worker that drains, by an owner whose reads of the workers' entries
+// get no answers.
+TEST_F(StartRecheckTest, Submit_WhileWorkerEntriesAreNotRead_DoesNotStart) {
+  cluster_.port(owner_).LoseAnswersOf("/log-read?topic=keyed.servers");
+  Drain();
+  cluster_.RunFor(Milliseconds(5'000));
+  ASSERT_EQ(cluster_.Submit(owner_, kJob, kOneTask)->status, kOk);
+  cluster_.RunFor(kRetryPeriod);
+  EXPECT_EQ(cluster_.OwnerIndex(), owner_);
+  EXPECT_EQ(cluster_.StartsOf(kTask), 0);
+}
+
+// Guards against an owner that starts nothing for good after such reads had no answers.
+TEST_F(StartRecheckTest, Submit_OnceWorkerEntriesAreReadAgain_Starts) {
+  cluster_.port(owner_).LoseAnswersOf("/log-read?topic=keyed.servers");
+  cluster_.RunFor(Milliseconds(5'000));
+  ASSERT_EQ(cluster_.Submit(owner_, kJob, kOneTask)->status, kOk);
+  cluster_.port(owner_).Heal(StandInStore::kAddress);
+  EXPECT_TRUE(cluster_.RunUntilState(kJob, "completed", Milliseconds(5'000)));
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
