Request a page without an answer again, not the whole load

Cause: a load of a topic began anew after each page without an answer. On a slow store, or while all instances load after a loss of history, the pages before were answered again for nothing, by every instance. Change: the page is requested again; the pages before are kept. The stand-in counts requested pages.

--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -93,7 +93,8 @@
   void OnPage(const std::string& after_key, const net::ClientResult& result) {
     auto page = Platform::ParseNewest(result);
     if (!page) {
-      Retry([this] { LoadPage({}); });
+      // The pages before are kept: a store that is slow for all instances would answer them again.
+      Retry([this, after_key] { LoadPage(after_key); });
       return;
     }
     NoteSuccess();
--- a/tests/entry/view_load_test.cc
+++ b/tests/entry/view_load_test.cc
@@ -65,5 +65,28 @@
   }
 }
 
+// Guards against a load that begins anew after each page without an answer: many instances that
+// load from a slow store would never finish.
+TEST_F(ViewLoadTest, Load_WithOnePageWithoutAnswer_RequestsThatPageAgainOnly) {
+  StandInCluster cluster(2, 1, kRunTime);
+  const std::size_t other = 1 - Owner(cluster);
+  cluster.store.CutPages(1, kPageDelay);
+  const auto pages_of_a_start = [&](Milliseconds loss_at, Milliseconds loss) {
+    const int before = cluster.store.requested_pages();
+    cluster.Kill(other);
+    cluster.Restart(other);
+    cluster.RunFor(loss_at);
+    if (loss.count() > 0) {
+      cluster.port(other).LoseAnswersOf("/log-newest?topic=keyed.loom");
+    }
+    cluster.RunFor(loss);
+    cluster.port(other).Heal(standin::StandInStore::kAddress);
+    cluster.RunFor(Milliseconds(8'000));
+    return cluster.store.requested_pages() - before;
+  };
+  const int pages = pages_of_a_start(Milliseconds(0), Milliseconds(0));
+  EXPECT_EQ(pages_of_a_start(2 * kPageDelay, kPageDelay), pages + 1);
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -230,6 +230,7 @@
 }
 
 void StandInStore::SendSnapshotPage(const std::string& target, const SimWorld::Reply& reply) {
+  ++requested_pages_;
   if (page_delay_.count() == 0 || TextOf(target, "dependsOn").empty()) {
     reply(SnapshotPage(target));
     return;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -66,6 +66,8 @@
     page_keys_ = keys;
     page_delay_ = delay;
   }
+  /// @brief Number of snapshot pages that were requested, of all topics.
+  [[nodiscard]] int requested_pages() const { return requested_pages_; }
   /// @brief Limits the answer of a read to a number of records.
   void CutBatches(std::size_t records) { batch_records_ = records; }
   /// @brief Compacts a topic up to its end: only the newest record of each key stays readable.
@@ -137,6 +139,7 @@
   workload::Milliseconds append_time_{0};
   std::size_t page_keys_ = 500;
   workload::Milliseconds page_delay_{0};
+  int requested_pages_ = 0;
   std::size_t batch_records_ = 10'000;
   bool refuses_ = false;
   bool refuses_appends_ = false;
