Load from the first page again after a page has failed six times

Cause: found in review: a page that the store refuses for good, for instance because its key was dropped, would be requested for ever. Change: after kMaxPageRetries the load begins anew.

--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -73,6 +73,7 @@
 
  private:
   static constexpr workload::Milliseconds kLoadTimeout{2'000};
+  static constexpr std::uint32_t kMaxPageRetries = 5;
   // Added to the store's own wait; without an answer after that the connection is broken.
   static constexpr workload::Milliseconds kReadSlack{600};
   static constexpr workload::Milliseconds kFirstRetryDelay{100};
@@ -93,8 +94,11 @@
   void OnPage(const std::string& after_key, const net::ClientResult& result) {
     auto page = Platform::ParseNewest(result);
     if (!page) {
-      // The pages before are kept: a store that is slow for all instances would answer them again.
-      Retry([this, after_key] { LoadPage(after_key); });
+      // Pages already received are kept, so that a slow store does not serve them again. A page
+      // that fails several times may not exist any more.
+      Retry([this, after_key] {
+        LoadPage(failures_ <= kMaxPageRetries ? after_key : std::string());
+      });
       return;
     }
     NoteSuccess();
