Go on asking a peer whose answer came too late for its caller

Cause: any answer from 503 on counted as a failure of the peer. A 504 says that the outcome is not known in time, and that the peer is at work. Ruled out: the same for 503: it says that the peer does not reach the store. Change: only 503 and no answer count; the probe and its constants get the usual names. Measured: PeerRouterTest with two new cases, caller_record, caller_refusal and append_storm tests: all pass.

--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -81,8 +81,8 @@
   static constexpr workload::Milliseconds kAnswerMargin{150};
   // Time after which a request whose append has no answer yet is forwarded to peers as well.
   static constexpr workload::Milliseconds kPeerFallbackDelay{350};
-  // Time without the owner's answer after which it is asked whether it is alive, again and again.
-  static constexpr workload::Milliseconds kOwnerCheckDelay{300};
+  // Interval at which an owner that has not answered is probed.
+  static constexpr workload::Milliseconds kOwnerProbeInterval{300};
 
   static bool IsSubmission(const workload::WorkloadRecord& record) {
     return std::holds_alternative<workload::SubmissionSet>(record);
@@ -108,15 +108,15 @@
                      [this, request, record, owner](PeerOutcome outcome) {
                        OnOwnerAnswer(request, record, owner, std::move(outcome));
                      });
-    CheckOwnerLater(request, record, owner);
+    ScheduleOwnerProbe(request, record, owner);
   }
 
-  void CheckOwnerLater(const net::ServerRequest& request, const workload::WorkloadRecord& record,
-                       const std::string& owner) {
-    port_.After(kOwnerCheckDelay, [this, request, record, owner] {
+  void ScheduleOwnerProbe(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                          const std::string& owner) {
+    port_.After(kOwnerProbeInterval, [this, request, record, owner] {
       if (AwaitsOwner(request.id)) {
-        peers_.CheckAlive(owner, [this, request, record, owner](bool is_alive) {
-          OnOwnerChecked(request, record, owner, is_alive);
+        peers_.ProbeHealth(owner, [this, request, record, owner](bool is_healthy) {
+          OnOwnerProbed(request, record, owner, is_healthy);
         });
       }
     });
@@ -127,13 +127,13 @@
     return it != waiting_.end() && !it->second.asked_owner.empty();
   }
 
-  void OnOwnerChecked(const net::ServerRequest& request, const workload::WorkloadRecord& record,
-                      const std::string& owner, bool is_alive) {
+  void OnOwnerProbed(const net::ServerRequest& request, const workload::WorkloadRecord& record,
+                     const std::string& owner, bool is_healthy) {
     if (!AwaitsOwner(request.id)) {
       return;
     }
-    if (is_alive) {
-      CheckOwnerLater(request, record, owner);
+    if (is_healthy) {
+      ScheduleOwnerProbe(request, record, owner);
     } else {
       logging::LogEvent(logging::LogLevel::kWarning, "owner_given_up",
                         {{"job", waiting_.at(request.id).job}, {"owner", owner}});
--- a/src/entry/caller/peer_router.h
+++ b/src/entry/caller/peer_router.h
@@ -93,18 +93,18 @@
     Send(peer, {Forwarded(request), {}, 0, {}, {}, timeout, std::move(done)});
   }
 
-  /// @brief Asks a peer whether it is at work and reaches the store. A peer without an answer, or
-  /// without the store, counts as failed.
+  /// @brief Probes whether a peer responds and reaches the store. One that does not counts as
+  /// failed.
   ///
-  /// Done runs once, never before CheckAlive returns. Precondition: the peer is known.
-  void CheckAlive(const std::string& peer, std::function<void(bool)> done) {
-    port_.Call(peers_.at(peer).address, Probe(), kAliveTimeout,
+  /// Done runs once, never before ProbeHealth returns. Precondition: the peer is known.
+  void ProbeHealth(const std::string& peer, std::function<void(bool)> done) {
+    port_.Call(peers_.at(peer).address, Probe(), kHealthProbeTimeout,
                lifetime_.Wrap([this, peer, done = std::move(done)](const net::ClientResult& it) {
-                 const bool is_alive = it.response && it.response->status == kOk;
-                 if (!is_alive) {
+                 const bool is_healthy = it.response && it.response->status == kOk;
+                 if (!is_healthy) {
                    NoteFailure(peer);
                  }
-                 done(is_alive);
+                 done(is_healthy);
                }));
   }
 
@@ -113,8 +113,8 @@
   static constexpr const char* kProbeHeader = "X-Loom-View-Age";
   static constexpr workload::Milliseconds kTimeout{600};
   static constexpr workload::Milliseconds kProbeTimeout{150};
-  // Longer than the decision thread of a peer is busy with a plan.
-  static constexpr workload::Milliseconds kAliveTimeout{300};
+  // Longer, since the answer decides whether the peer's work is done elsewhere as well.
+  static constexpr workload::Milliseconds kHealthProbeTimeout{300};
   static constexpr std::size_t kMaxAttempts = 4;
   // Minimum by which a peer's view must be newer. More than the views of two instances differ when
   // both lose the store at the same time.
@@ -222,7 +222,8 @@
   void OnAnswer(const std::string& peer, Attempt attempt, const net::ClientResult& result) {
     const RunState run_state = RunStateOf(result);
     attempt.history = attempt.history.With(run_state);
-    const bool is_healthy = result.response && result.response->status < kUnavailable;
+    // Any other answer, also that an outcome is not known in time, shows that the peer is at work.
+    const bool is_healthy = result.response && result.response->status != kUnavailable;
     if (is_healthy) {
       last_responsive_peer_ = peer;
       peers_.at(peer).failed_at = {};
--- a/tests/entry/peer_router_test.cc
+++ b/tests/entry/peer_router_test.cc
@@ -19,6 +19,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNoSuchJob = 410;
 constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
 // In place of a status: the peer receives the request and does not answer.
 constexpr int kSilent = 0;
 
@@ -96,5 +97,26 @@
   EXPECT_EQ(StatusOf(Forward("GET")), kNoSuchJob);
 }
 
+// Guards against instances that stop asking an owner which is alive: one answer that came too late
+// for its caller made them append by themselves for a second.
+TEST_F(PeerRouterTest, ForwardTo_AnsweredWithAnUnknownOutcome_LeavesThePeerAvailable) {
+  AddPeers({kOutcomeUnknown});
+  std::vector<PeerOutcome> outcomes;
+  router_.ForwardTo("p1", {"POST", "/urgent/1", {}, {}}, Milliseconds(1'000),
+                    [&outcomes](PeerOutcome outcome) { outcomes.push_back(std::move(outcome)); });
+  world_.RunFor(Milliseconds(100));
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_FALSE(outcomes.front().is_success());
+  EXPECT_FALSE(outcomes.front().history.MayBeRefused());
+  EXPECT_TRUE(router_.IsAvailable("p1"));
+}
+
+TEST_F(PeerRouterTest, ForwardTo_RefusedWithoutTheStore_LeavesThePeerUnavailable) {
+  AddPeers({kUnavailable});
+  router_.ForwardTo("p1", {"POST", "/urgent/1", {}, {}}, Milliseconds(1'000), [](PeerOutcome) {});
+  world_.RunFor(Milliseconds(100));
+  EXPECT_FALSE(router_.IsAvailable("p1"));
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
