Limit the idle connections of the HTTP client in total

Cause: The client keeps up to four idle connections to each address. An owner of 3,000 workers can hold 12,000 beside its polls, and the largest machine has 8,192 descriptors. Once they are used up, all new calls fail as "unreachable". The owner takes workers for silent, withdraws starts and plans them again.

Ruled out: A smaller number for each address costs connections where there are few workers. Retrying without closing idle connections waits for up to 15 s.

If no descriptor is left, the client closes the connections that have been idle longest and tries again until the connection timeout.

Measured: The new test of the client fails before with "connect: Too many open files".

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,16 +16,15 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
-#include <deque>
 #include <exception>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 #include "clementineloom/concurrency/duty_thread.h"
 #include "net/detail/beast_conversion.h"
+#include "net/detail/idle_connections.h"
 #include "net/io_ring.h"
 #include "net/parse_endpoint.h"
 
@@ -41,12 +40,15 @@
 
 // Correlation id of a request; an upstream that echoes another id has answered another request.
 constexpr std::string_view kCorrelationHeader = "X-Request-Id";
+// Pause before another attempt to open a socket while all file descriptors are in use.
+constexpr std::chrono::milliseconds kDescriptorPause{10};
+// Idle connections that are closed at once to free file descriptors.
+constexpr std::size_t kConnectionsToClose = 64;
 
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
 
   beast::tcp_stream stream;
-  Clock::time_point idle_since;
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -90,6 +92,7 @@
       : options_(options),
         sink_(std::move(sink)),
         work_(asio::make_work_guard(context_)),
+        idle_(options.max_idle_per_address, options.max_idle_in_total),
         calls_(context_, options.call_ring,
                [this](ClientCall call) {
                  asio::co_spawn(context_, Run(std::move(call)), asio::detached);
@@ -131,21 +134,12 @@
   }
 
   ConnectionPtr TakeIdle(const std::string& address, std::chrono::milliseconds max_idle) {
-    const auto entry = idle_.find(address);
-    if (entry == idle_.end()) {
-      return nullptr;
+    const auto since = Clock::now() - std::min(options_.max_idle, max_idle);
+    ConnectionPtr connection = idle_.TakeNewest(address, since);
+    while (connection != nullptr && !IsUsable(*connection)) {
+      connection = idle_.TakeNewest(address, since);
     }
-    auto& idle = entry->second;
-    const auto oldest = Clock::now() - std::min(options_.max_idle, max_idle);
-    // The most recently used connection is at the back: if it is too old, all others are too.
-    while (!idle.empty() && idle.back()->idle_since >= oldest) {
-      ConnectionPtr connection = std::move(idle.back());
-      idle.pop_back();
-      if (IsUsable(*connection)) {
-        return connection;
-      }
-    }
-    return nullptr;
+    return connection;
   }
 
   asio::awaitable<ConnectionPtr> Connect(const ClientCall& call, Clock::time_point deadline,
@@ -160,9 +154,21 @@
       ec = asio::error::invalid_argument;
       co_return nullptr;
     }
+    const auto connect_until = std::min(deadline, Clock::now() + options_.connect_timeout);
+    ConnectionPtr connection = co_await ConnectOnce(*endpoint, connect_until, ec);
+    while (ec == asio::error::no_descriptors && Clock::now() + kDescriptorPause < connect_until) {
+      idle_.CloseOldest(kConnectionsToClose);
+      co_await Pause(kDescriptorPause);
+      connection = co_await ConnectOnce(*endpoint, connect_until, ec);
+    }
+    co_return connection;
+  }
+
+  asio::awaitable<ConnectionPtr> ConnectOnce(const Tcp::endpoint& endpoint,
+                                             Clock::time_point deadline, error_code& ec) {
     auto connection = std::make_unique<Connection>(context_);
-    connection->stream.expires_at(std::min(deadline, Clock::now() + options_.connect_timeout));
-    co_await connection->stream.async_connect(*endpoint,
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(endpoint,
                                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       co_return nullptr;
@@ -172,6 +178,12 @@
     co_return connection;
   }
 
+  asio::awaitable<void> Pause(std::chrono::milliseconds time) {
+    asio::steady_timer timer(context_, time);
+    error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
   asio::awaitable<ClientResult> Exchange(ConnectionPtr connection, const ClientCall& call,
                                          const detail::BeastRequest& message,
                                          Clock::time_point deadline) {
@@ -191,7 +203,7 @@
     if (ec) {
       if (ec == beast::error::timeout) {
         // The cause of the timeout may affect the other open connections to this address too.
-        idle_.erase(call.address);
+        idle_.Close(call.address);
       }
       co_return ClientResult{call.id, std::nullopt, RefusalOfExchange(ec, parser.got_some())};
     }
@@ -217,15 +229,10 @@
   }
 
   void KeepIdle(const std::string& address, ConnectionPtr connection) {
-    auto& idle = idle_[address];
     const auto now = Clock::now();
-    while (!idle.empty() && (idle.size() >= options_.max_idle_per_address ||
-                             idle.front()->idle_since < now - options_.max_idle)) {
-      idle.pop_front();
-    }
+    idle_.CloseOlderThan(now - options_.max_idle);
     connection->stream.expires_never();
-    connection->idle_since = now;
-    idle.push_back(std::move(connection));
+    idle_.Add(address, std::move(connection), now);
     StartReaper();
   }
 
@@ -245,14 +252,7 @@
   }
 
   void CloseOldConnections() {
-    const auto oldest = Clock::now() - options_.max_idle;
-    for (auto it = idle_.begin(); it != idle_.end();) {
-      auto& idle = it->second;
-      while (!idle.empty() && idle.front()->idle_since < oldest) {
-        idle.pop_front();
-      }
-      it = idle.empty() ? idle_.erase(it) : std::next(it);
-    }
+    idle_.CloseOlderThan(Clock::now() - options_.max_idle);
     if (!idle_.empty()) {
       StartReaper();
     }
@@ -262,8 +262,7 @@
   const Sink sink_;
   asio::io_context context_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_;
-  // Idle connections of each address, the most recently used one at the back.
-  std::unordered_map<std::string, std::deque<ConnectionPtr>> idle_;
+  detail::IdleConnections<Connection> idle_;
   asio::steady_timer reaper_{context_};
   bool is_reaping_ = false;
   IoRing<ClientCall> calls_;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -1,11 +1,14 @@
 #include "net/http_client.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "clementineloom/concurrency/bounded_ring.h"
 #include "net/http_server.h"
@@ -33,9 +36,10 @@
         client_.Send({CallId(++last_call_), address, std::move(request), std::chrono::seconds(5)}));
     return *results_.Pop();
   }
-  [[nodiscard]] std::string Address() const {
-    return "127.0.0.1:" + std::to_string(server_->port());
+  [[nodiscard]] static std::string AddressOf(const HttpServer& server) {
+    return "127.0.0.1:" + std::to_string(server.port());
   }
+  [[nodiscard]] std::string Address() const { return AddressOf(*server_); }
 
   BoundedRing<ClientResult> results_{16};
   std::uint64_t last_call_ = 0;
@@ -68,5 +72,44 @@
   EXPECT_TRUE(Call(Address(), {"GET", "/", {}, {}}).response.has_value());
 }
 
+// Limits the file descriptors of the process to those that are open, until it is destroyed.
+class DescriptorLimit {
+ public:
+  DescriptorLimit() {
+    EXPECT_EQ(getrlimit(RLIMIT_NOFILE, &former_), 0);
+    const int lowest_free = dup(STDIN_FILENO);
+    EXPECT_GE(lowest_free, 0);
+    close(lowest_free);
+    rlimit lower = former_;
+    lower.rlim_cur = static_cast<rlim_t>(lowest_free);
+    EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &lower), 0);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &former_); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit former_{};
+};
+
+// Guards against calls that fail for lack of file descriptors while idle connections hold them: to
+// an owner, all workers seem to be lost at once.
+TEST_F(HttpClientTest, Send_WhileIdleConnectionsHoldAllDescriptors_ClosesThemAndSucceeds) {
+  constexpr int kServers = 8;
+  std::vector<std::unique_ptr<HttpServer>> servers(kServers);
+  for (auto& it : servers) {
+    it = ValueOrDie([&it] {
+      return HttpServer::Start("server", {}, [&it](const ServerRequest& request) {
+        it->Answer(request.id, {kOk, {}, "answer"});
+        return true;
+      });
+    });
+    ASSERT_TRUE(Call(AddressOf(*it), {"GET", "/", {}, {}}).response.has_value());
+  }
+  const DescriptorLimit limit;
+  const ClientResult result = Call(Address(), {"GET", "/", {}, {}});
+  EXPECT_TRUE(result.response.has_value()) << (result.refusal ? result.refusal->detail : "");
+}
+
 }  // namespace
 }  // namespace clementineloom::net
