Bound the reads of a topic by what the store sends in time

Cause: All instances read every record and share the store's read bandwidth (readMbS, 80 MB/s). A read asked for up to 1 MB. With 300 instances behind by 0.5 MB each, no answer arrives within the 1.2 s timeout, the store sends the answers that were given up all the same, and the retries ask for the same bytes again. From then on no instance reads a record: a claim is stored, but its instance never reads it back, so that nobody owns the workers.

Ruled out: A longer timeout delays the notice of a broken connection and leaves the amount of data. A fixed small size with the pause after each read is too slow for the records of 3,000 workers.

Change: A read is limited to 128 kB, half as much after each timeout down to 16 kB, and more for a record that is larger. Reads follow each other without a pause until the end of the topic is reached. The test of lagging reads adds 3,000 records instead of 80, so that its reads still lag for its whole length.

--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -12,6 +12,7 @@
 
 #include "entry/port/call_port.h"
 #include "entry/port/lifetime_guard.h"
+#include "entry/store/read_size.h"
 #include "entry/store/store_endpoint.h"
 #include "entry/store/topic_follower_options.h"
 #include "entry/store/topic_item.h"
@@ -21,7 +22,8 @@
 
 /// @brief Follows a compacted topic: loads the newest record of each key, then reads new records.
 ///
-/// Loads again when the next records to read have expired. Calls the sink's
+/// Loads again when the next records to read have expired. Reads are limited in size, and follow
+/// each other without a pause until the end of the topic is reached. Calls the sink's
 /// - on_reload with the whole topic, after each load,
 /// - on_items with new records, in order; with none if a long poll ended without a record.
 /// Thread safety: none; use from the thread of the port, which has to outlive the follower.
@@ -144,7 +146,8 @@
     // After a failure the store answers at once, so that its return is noticed without a wait for
     // the next record.
     const workload::Milliseconds wait = failures_ > 0 ? workload::Milliseconds(0) : options_.wait;
-    port_.Call(endpoint_.address, Platform::ReadRequest(endpoint_.topic, next_offset_, wait),
+    port_.Call(endpoint_.address,
+               Platform::ReadRequest(endpoint_.topic, next_offset_, wait, read_size_.kilobytes()),
                options_.wait + kReadSlack,
                lifetime_.Wrap([this, sent_at = port_.Now()](const net::ClientResult& result) {
                  OnBatch(sent_at, result);
@@ -164,6 +167,9 @@
     }
     auto batch = Platform::ParseRead(result, next_offset_);
     if (!batch) {
+      if (!result.response) {
+        read_size_.OnTimeout();
+      }
       Retry([this] { Read(); });
       return;
     }
@@ -172,23 +178,33 @@
     if (has_records) {
       next_offset_ = batch->items.back().offset + 1;
     }
-    if (next_offset_ >= batch->end_offset) {
+    const bool is_at_end = next_offset_ >= batch->end_offset;
+    if (is_at_end) {
       last_read_at_ = port_.Now();
       complete_until_ = sent_at;
     }
+    NoteSize(has_records, is_at_end);
     DropOlder(batch->items);
     const auto alive = lifetime_.watch();
     sink_.on_items(batch->items);
     if (alive.expired()) {
       return;
     }
-    if (has_records && options_.pause.count() > 0) {
+    if (has_records && is_at_end && options_.pause.count() > 0) {
       port_.After(options_.pause, lifetime_.Wrap([this] { Read(); }));
     } else {
       Read();
     }
   }
 
+  void NoteSize(bool has_records, bool is_at_end) {
+    if (has_records) {
+      read_size_.OnRecords();
+    } else if (!is_at_end) {
+      read_size_.OnRecordTooLarge();
+    }
+  }
+
   // The pages of a load are not a snapshot: a page may contain a record that is newer than the end
   // offset of the load, and reading an older record of its key must not revert it.
   void DropOlder(Items& items) {
@@ -225,6 +241,7 @@
   Port& port_;
   const StoreEndpoint endpoint_;
   TopicFollowerOptions options_;
+  ReadSize read_size_;
   const Sink sink_;
   Items loaded_;
   std::uint64_t load_end_ = 0;
--- /dev/null
+++ b/tests/entry/read_size_test.cc
@@ -0,0 +1,46 @@
+#include "entry/store/read_size.h"
+
+#include <gtest/gtest.h>
+
+namespace clementineloom::entry {
+namespace {
+
+class ReadSizeTest : public testing::Test {
+ protected:
+  ReadSize size_;
+};
+
+// Guards against retries that are as large as the reads that timed out.
+TEST_F(ReadSizeTest, OnTimeout_Repeated_ShrinksToTheSmallestSize) {
+  size_.OnTimeout();
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes / 2);
+  for (int n = 0; n < 20; ++n) {
+    size_.OnTimeout();
+  }
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kMinKilobytes);
+}
+
+// Guards against reads that stay small after the store has recovered.
+TEST_F(ReadSizeTest, OnRecords_AfterTimeouts_ReturnsToTheUsualSize) {
+  size_.OnTimeout();
+  size_.OnTimeout();
+  size_.OnRecords();
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes / 2);
+  for (int n = 0; n < 20; ++n) {
+    size_.OnRecords();
+  }
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes);
+}
+
+// Guards against a record that is larger than the usual size and never read.
+TEST_F(ReadSizeTest, OnRecordTooLarge_Repeated_GrowsToTheLargestSizeUntilItIsRead) {
+  for (int n = 0; n < 20; ++n) {
+    size_.OnRecordTooLarge();
+  }
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kMaxKilobytes);
+  size_.OnRecords();
+  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes);
+}
+
+}  // namespace
+}  // namespace clementineloom::entry
--- a/tests/entry/view_load_test.cc
+++ b/tests/entry/view_load_test.cc
@@ -52,8 +52,9 @@
   const std::size_t owner = Owner(cluster);
   const std::size_t other = 1 - owner;
   cluster.store.CutBatches(1);
-  for (int n = 10; n < 90; ++n) {
-    cluster.store.Put("keyed.loom", "c/00000000000000" + std::to_string(n), "true");
+  // Reading them one at a time takes longer than this test.
+  for (int n = 1'000; n < 4'000; ++n) {
+    cluster.store.Put("keyed.loom", "c/000000000000" + std::to_string(n), "true");
   }
   ASSERT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
   cluster.RunFor(kMaxViewAge);
--- a/tests/standin/standin_store.cc
+++ b/tests/standin/standin_store.cc
@@ -20,6 +20,10 @@
 namespace json = boost::json;
 
 constexpr workload::Milliseconds kAppendLatency{4};
+constexpr std::size_t kKilobyte = 1'024;
+constexpr std::uint64_t kDefaultReadKilobytes = 1'024;
+// Lengths of a record and of its key.
+constexpr std::size_t kRecordOverhead = 5;
 
 net::HttpResponse Json(int status, const json::object& body) {
   return {status, {}, json::serialize(body)};
@@ -215,16 +219,18 @@
     reply(Json(410, {{"firstOffset", topic.first}}));
     return;
   }
+  const std::size_t max_bytes =
+      kKilobyte * fakes::QueryNumber(target, "maxKb", kDefaultReadKilobytes);
   if (from < topic.records.size()) {
-    reply(Batch(topic, from));
+    SendRead(reply, Batch(topic, from, max_bytes));
     return;
   }
-  auto waiter = std::make_shared<Waiter>(Waiter{from, std::move(reply)});
+  auto waiter = std::make_shared<Waiter>(Waiter{from, max_bytes, std::move(reply)});
   topic.waiters.push_back(waiter);
   world_.After(workload::Milliseconds(fakes::QueryNumber(target, "waitMs", 0)),
                [this, &topic, waiter] {
                  if (!std::exchange(waiter->is_answered, true)) {
-                   waiter->reply(Batch(topic, waiter->from));
+                   SendRead(waiter->reply, Batch(topic, waiter->from, waiter->max_bytes));
                  }
                });
 }
@@ -268,13 +274,35 @@
   topic.records.insert(topic.records.end(), items.begin(), items.end());
   for (const auto& it : std::exchange(topic.waiters, {})) {
     if (!std::exchange(it->is_answered, true)) {
-      it->reply(Batch(topic, it->from));
+      SendRead(it->reply, Batch(topic, it->from, it->max_bytes));
     }
   }
 }
 
-net::HttpResponse StandInStore::Batch(const Topic& topic, std::uint64_t from) const {
-  const std::size_t count = std::min(topic.records.size() - from, batch_records_);
+void StandInStore::SendRead(const SimWorld::Reply& reply, net::HttpResponse response) {
+  if (read_bytes_per_ms_ == 0) {
+    reply(std::move(response));
+    return;
+  }
+  const workload::Milliseconds time(response.body.size() / read_bytes_per_ms_);
+  reads_sent_at_ = std::max(reads_sent_at_, world_.now()) + time;
+  const auto delay = std::chrono::ceil<workload::Milliseconds>(reads_sent_at_ - world_.now());
+  world_.After(delay, [reply, response = std::move(response)] { reply(response); });
+}
+
+net::HttpResponse StandInStore::Batch(const Topic& topic, std::uint64_t from,
+                                      std::size_t max_bytes) const {
+  const std::size_t available = std::min(topic.records.size() - from, batch_records_);
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  while (count < available) {
+    const workload::KeyedValue& record = topic.records[from + count];
+    bytes += kRecordOverhead + record.key.size() + record.value.size();
+    if (bytes > max_bytes) {
+      break;
+    }
+    ++count;
+  }
   const auto begin = topic.records.begin() + static_cast<std::ptrdiff_t>(from);
   const std::vector<workload::KeyedValue> items(begin, begin + static_cast<std::ptrdiff_t>(count));
   return {200,
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -70,6 +70,9 @@
   [[nodiscard]] int requested_pages() const { return requested_pages_; }
   /// @brief Limits the answer of a read to a number of records.
   void CutBatches(std::size_t records) { batch_records_ = records; }
+  /// @brief Makes all reads share a bandwidth. An answer is sent in full even if its reader has
+  /// given up on it.
+  void LimitReads(std::size_t bytes_per_ms) { read_bytes_per_ms_ = bytes_per_ms; }
   /// @brief Compacts a topic up to its end: only the newest record of each key stays readable.
   void Compact(const std::string& topic) { topics_[topic].first = End(topic); }
 
@@ -101,6 +104,7 @@
   };
   struct Waiter {
     std::uint64_t from = 0;
+    std::size_t max_bytes = 0;
     SimWorld::Reply reply;
     bool is_answered = false;
   };
@@ -126,7 +130,10 @@
   void SendSnapshotPage(const std::string& target, const SimWorld::Reply& reply);
   [[nodiscard]] net::HttpResponse SnapshotPage(const std::string& target);
   void Add(const std::string& topic, const std::vector<workload::KeyedValue>& items);
-  [[nodiscard]] net::HttpResponse Batch(const Topic& topic, std::uint64_t from) const;
+  // Answers a read once the bandwidth that all reads share has carried the answers before it.
+  void SendRead(const SimWorld::Reply& reply, net::HttpResponse response);
+  [[nodiscard]] net::HttpResponse Batch(const Topic& topic, std::uint64_t from,
+                                        std::size_t max_bytes) const;
 
   SimWorld& world_;
   std::map<std::string, Topic> topics_;
@@ -141,6 +148,10 @@
   workload::Milliseconds page_delay_{0};
   int requested_pages_ = 0;
   std::size_t batch_records_ = 10'000;
+  // 0 for no limit.
+  std::size_t read_bytes_per_ms_ = 0;
+  // When all answers so far have been sent.
+  workload::SteadyTime reads_sent_at_;
   bool refuses_ = false;
   bool refuses_appends_ = false;
   workload::Milliseconds delay_{0};
