Let instances claim the ownership in rounds with doubling candidates

Cause: all instances claimed within 300 ms of the owner timeout, whatever their number, while a claim is read by the others up to 400 ms later, or seconds later at a store with a full queue. Each claim had an epoch of its own; those with a higher one deposed the successor just elected, the others were refused. The claims took the partition's time from the owner that was alive. A claim was repeated 1.2 s after the one before, while that one could still be in the store's queue of 2 s. Ruled out: more spread alone. A fixed spread long enough for 150 instances delays the successor of a small system. The spread at the start of a system was hidden by the initial delay of 500 ms. Change: ClaimRank orders the candidates by what all have read (larger ones, then a hash of the name and the last owner's epoch; the last owner is the last). ClaimRounds lets one claim, then two more, then four: three rounds of 100 ms with nine instances, rounds of 800 ms with more than 70. The epoch of an earlier candidate is higher, so that the store refuses a later one. A claim is repeated after 400 ms and the instance's turn, which grows up to four times; its answer is awaited for 2.4 s, longer than the store queues it. Larger instances replace a living smaller owner in rounds of 800 ms in place of a random share of 4 s. Smaller instances wait for the turns of the largest, 400 ms to 2.5 s. At the start of a system the rounds begin after the initial delay, which now also applies where sizes are not known but peers are. Two instances with the same seed no longer take the same epoch when they know each other; a second Claims_OfTheSameEpoch test makes them unknown to each other.

--- a/include/clementineloom/workload/owner_election.h
+++ b/include/clementineloom/workload/owner_election.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "clementineloom/workload/claim_rank.h"
+#include "clementineloom/workload/claim_rounds.h"
 #include "clementineloom/workload/instance_record.h"
 #include "clementineloom/workload/owner_record.h"
 #include "clementineloom/workload/steady_time.h"
@@ -16,36 +18,38 @@
 /// A live owner writes a heartbeat record at least every kHeartbeatInterval. On a slow store a
 /// heartbeat waits behind the owner's other records, so each of these shows too that it is alive.
 /// Missing records count only while the stream can be read: after an outage the owner gets the full
-/// timeout again.
+/// timeout again. The instances claim in rounds (ClaimRounds), in the order of ClaimRank.
 /// Thread safety: none; use from one thread.
 class OwnerElection {
  public:
   static constexpr Milliseconds kHeartbeatInterval{400};
   /// Three heartbeat intervals and the time to read a record.
   static constexpr Milliseconds kOwnerTimeout{1'400};
-  /// The claims of the instances are spread over this time, so that most of them do not collide.
-  static constexpr Milliseconds kMaxClaimDelay{300};
   /// A longer gap between two reads counts as an outage.
   static constexpr Milliseconds kMaxReadGap{1'900};
 
   /// Shortest time from the answer to a claim to the next claim.
   static constexpr Milliseconds kClaimRetryDelay{400};
+  /// After so many claims without a new owner the pause before the next one grows no more.
+  static constexpr int kMaxRetryGrowth = 4;
 
   /// Extra delay of an instance that has a larger peer: the larger one plans for a large fleet in
-  /// time.
+  /// time. It is longer if several of the largest claim first.
   static constexpr Milliseconds kSmallerInstanceDelay{400};
+  /// Longer than a claim needs at a store with a full queue, and short enough for the leases of the
+  /// workers where all of the largest are dead.
+  static constexpr Milliseconds kMaxSmallerInstanceDelay{2'500};
   /// Time in which all instances of a new system report their size.
   static constexpr Milliseconds kInitialClaimDelay{500};
   /// How long a smaller owner is left in office: long enough to adopt the workers, so that owners
   /// do not follow each other without a plan in between.
   static constexpr Milliseconds kSmallerOwnerTerm{2'000};
-  /// The claims of larger instances are spread over this time. Several times the pause between
-  /// reads, so that most of them see the first claim before they make their own.
-  static constexpr Milliseconds kMaxReplaceDelay{4'000};
+  /// Length of the rounds in which larger instances claim. Several times the pause between reads,
+  /// also where instances are few: nobody waits for this claim.
+  static constexpr Milliseconds kReplaceRound{800};
 
-  /// @param rank 0 to 1; the share of kMaxClaimDelay that this instance waits
   /// @param cpu_millicores of this instance; 0 where they are not known
-  OwnerElection(std::string instance, double rank, std::int64_t cpu_millicores = 0);
+  explicit OwnerElection(std::string instance, std::int64_t cpu_millicores = 0);
 
   /// @brief Notes an instance and its size.
   void OnInstance(const InstanceRecord& instance);
@@ -65,7 +69,8 @@
   void OnReadFailed();
 
   /// @brief Notes the answer to a claim, whether it succeeded or not. The next claim waits for
-  /// kClaimRetryDelay, in which a successful claim is read back.
+  /// kClaimRetryDelay, in which a successful claim is read back, and for the turn of this instance
+  /// in rounds that grow with each claim until a new owner is read.
   void OnClaimAnswered(SteadyTime now);
 
   /// @brief Notes that this instance hands over because it reaches no worker: for
@@ -83,27 +88,35 @@
   /// further.
   [[nodiscard]] SteadyTime EarliestClaim(SteadyTime now) const;
 
-  /// @brief An epoch above every one seen, which no other instance takes at the same time.
+  /// @brief An epoch above every one seen, which no other instance takes at the same time. Among
+  /// the claims to succeed one owner, those of earlier candidates have the higher epochs: the store
+  /// refuses a later candidate's claim rather than let it depose the successor.
   /// @param nonce differs between instances
   [[nodiscard]] std::uint64_t NextEpoch(std::uint64_t nonce) const;
 
   [[nodiscard]] const std::optional<OwnerRecord>& owner() const { return owner_; }
 
  private:
-  // The lower bits of an epoch are the nonce of its instance.
+  // Below the number of the succession, an epoch holds the reversed rank and the nonce of its
+  // instance.
+  static constexpr std::uint64_t kRankRange = 512;
   static constexpr std::uint64_t kNonceRange = 1'048'576;
 
   // Whether the owner is known to be alive and smaller than this instance.
   [[nodiscard]] bool HasSmallerOwner() const;
+  // Whether another instance owns the workers and has written within the owner timeout.
+  [[nodiscard]] bool IsOwnedByAnother(SteadyTime now) const;
+  [[nodiscard]] ClaimRank Rank() const;
+  [[nodiscard]] ClaimRounds Rounds() const;
+  // Time from the silence of the owner to the claim of this instance.
+  [[nodiscard]] Milliseconds TurnDelay() const;
+  // Whether a new system waits for the records of its instances.
+  [[nodiscard]] bool IsStarting() const;
 
   const std::string instance_;
-  const Milliseconds claim_delay_;
-  const Milliseconds replace_delay_;
   const std::int64_t cpu_millicores_;
   // Sizes of the instances that are known, this one included, in thousandths of a core.
   std::map<std::string, std::int64_t> sizes_;
-  bool has_larger_peer_ = false;
-  std::optional<SteadyTime> first_read_;
   std::optional<OwnerRecord> owner_;
   std::optional<SteadyTime> last_read_;
   // First record of the owner.
@@ -112,6 +125,8 @@
   SteadyTime last_heartbeat_;
   bool is_readable_ = false;
   SteadyTime next_claim_at_;
+  // Claims of this instance since a new owner was read.
+  int claims_ = 0;
   std::optional<SteadyTime> handed_over_at_;
 };
 
--- a/src/entry/election/ownership_claims.h
+++ b/src/entry/election/ownership_claims.h
@@ -37,7 +37,7 @@
       : port_(port),
         endpoint_(std::move(endpoint)),
         instance_(std::move(instance)),
-        election_(instance_, RankOf(seed), cpu_millicores),
+        election_(instance_, cpu_millicores),
         nonce_(seed) {}
 
   /// @brief What this instance has read about owners and instances.
@@ -111,12 +111,8 @@
   }
 
  private:
-  static constexpr workload::Milliseconds kClaimTimeout{800};
-
-  static double RankOf(std::uint32_t seed) {
-    constexpr std::uint32_t kSteps = 1'000;
-    return static_cast<double>(seed % kSteps) / kSteps;
-  }
+  // Longer than the store queues an append, so that no claim is sent while the one before waits.
+  static constexpr workload::Milliseconds kClaimTimeout{2'400};
 
   void Claim(std::uint64_t next_offset) {
     is_claiming_ = true;
--- a/tests/entry/entry_cluster_test.cc
+++ b/tests/entry/entry_cluster_test.cc
@@ -301,6 +301,34 @@
   EXPECT_EQ(cluster.StartsOf(kTask), 1);
 }
 
+// Guards against the same where instances that do not know each other succeed an owner: they take
+// the same turn.
+TEST_F(EntryClusterTest, Claims_OfTheSameEpochInTheSameTurn_LeaveOneOwner) {
+  constexpr std::size_t kInstances = 3;
+  StandInCluster cluster(kInstances, 2, kRunTime, true);
+  const std::size_t owner = Owner(cluster);
+  for (std::size_t n = 0; n < kInstances; ++n) {
+    cluster.Kill(n);
+    cluster.store.Put("keyed.loom", "i/" + StandInCluster::InstanceName(n), "");
+  }
+  cluster.store.RefuseAppendsOf(StandInCluster::InstanceName(0).substr(0, 1), Milliseconds(0));
+  for (std::size_t n = 0; n < kInstances; ++n) {
+    if (n != owner) {
+      cluster.Restart(n);
+    }
+  }
+  cluster.RunFor(Milliseconds(3'000));
+  EXPECT_EQ(cluster.OwnerCount(), 1);
+  cluster.store.DelayAppendsOf(StandInCluster::InstanceName(0).substr(0, 1), Milliseconds(0));
+  cluster.RunFor(Milliseconds(2'000));
+  EXPECT_EQ(cluster.OwnerCount(), 1);
+  const std::size_t front = Other(owner);
+  EXPECT_EQ(cluster.Submit(front, kJob, kFourTasks)->status, kOk);
+  cluster.RunFor(Milliseconds(6'000));
+  EXPECT_EQ(cluster.StartsOf(kTask), 1);
+  EXPECT_TRUE(cluster.tasks_on_two_workers.empty());
+}
+
 // Guards against an owner that claims again with unstored changes in memory: ends were acknowledged
 // to their worker without being stored, and the tasks ran again under the next owner.
 TEST_F(EntryClusterTest, Owner_LostInAnOutageAndElectedAgain_DropsUnstoredChanges) {
