Name the store as what a request waits for while its owner answers probes

Cause: since an owner that is alive is waited for, the log named the owner as the cause of every unknown outcome, also where the store gave no answer. Change: an owner that has answered a probe waits for the store, and the line says so.

--- a/src/entry/caller/caller_log.h
+++ b/src/entry/caller/caller_log.h
@@ -116,7 +116,7 @@
 
   // The part of the system whose answer would settle the outcome.
   static const char* AwaitedPart(const WaitingRecord& waiting) {
-    if (!waiting.asked_owner.empty()) {
+    if (!waiting.asked_owner.empty() && !waiting.is_owner_healthy) {
       return "owner";
     }
     return waiting.is_refused_here ? "peer" : "store";
--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -132,6 +132,7 @@
     if (!AwaitsOwner(request.id)) {
       return;
     }
+    waiting_.at(request.id).is_owner_healthy = is_healthy;
     if (is_healthy) {
       ScheduleOwnerProbe(request, record, owner);
     } else {
--- a/src/entry/caller/waiting_record.h
+++ b/src/entry/caller/waiting_record.h
@@ -14,6 +14,8 @@
   bool is_forwarded = false;
   /// The owner that was asked to record it and has not answered; empty for none.
   std::string asked_owner;
+  /// Whether that owner has answered a probe: it is alive and waits for the store.
+  bool is_owner_healthy = false;
   /// Attempts that have ended, at this and at other instances.
   AttemptHistory history;
   /// Whether the store refused the append of this instance.
