Read the workers' entries in large batches

Cause: With 3,000 workers their heartbeats need more than one small read gets on a store whose bandwidth is used up. The owner read the entries of leaving workers seconds late and started runs there.

Ruled out: The limit is needed where hundreds of instances read the same records. Only the owner reads the workers' entries.

Change: The usual size of a read is an option of the follower: 128 kB, and 1 MB for the workers' entries.

--- a/src/entry/owner/worker_directory.h
+++ b/src/entry/owner/worker_directory.h
@@ -12,6 +12,7 @@
 #include "clementineloom/errors/result.h"
 #include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_info.h"
+#include "entry/store/read_size.h"
 #include "entry/store/topic_follower.h"
 
 namespace clementineloom::entry {
@@ -42,10 +43,11 @@
 
  private:
   // Heartbeats arrive continuously and are read in batches, but a drain has to be noticed well
-  // within a second.
+  // within a second. Only the owner reads them, so that its reads may be large.
   static TopicFollowerOptions ReadOptions() {
     TopicFollowerOptions options;
     options.pause = workload::Milliseconds(250);
+    options.read_kilobytes = ReadSize::kMaxKilobytes;
     return options;
   }
 
--- a/src/entry/store/read_size.h
+++ b/src/entry/store/read_size.h
@@ -13,8 +13,10 @@
 /// Thread safety: none; use from one thread.
 class ReadSize {
  public:
-  /// Small enough that hundreds of such reads at once are answered before they time out.
-  static constexpr std::uint32_t kUsualKilobytes = 128;
+  /// @param usual_kilobytes between the smallest and the largest size
+  explicit ReadSize(std::uint32_t usual_kilobytes)
+      : usual_kilobytes_(usual_kilobytes), kilobytes_(usual_kilobytes) {}
+
   static constexpr std::uint32_t kMinKilobytes = 16;
   /// Enough for the largest record.
   static constexpr std::uint32_t kMaxKilobytes = 1'024;
@@ -22,7 +24,7 @@
   [[nodiscard]] std::uint32_t kilobytes() const { return kilobytes_; }
 
   /// @brief Notes an answer with records.
-  void OnRecords() { kilobytes_ = std::min(2 * kilobytes_, kUsualKilobytes); }
+  void OnRecords() { kilobytes_ = std::min(2 * kilobytes_, usual_kilobytes_); }
 
   /// @brief Notes an answer without records, although the topic has more: the next one is larger
   /// than the limit.
@@ -32,7 +34,8 @@
   void OnTimeout() { kilobytes_ = std::max(kilobytes_ / 2, kMinKilobytes); }
 
  private:
-  std::uint32_t kilobytes_ = kUsualKilobytes;
+  const std::uint32_t usual_kilobytes_;
+  std::uint32_t kilobytes_;
 };
 
 }  // namespace clementineloom::entry
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -241,7 +241,7 @@
   Port& port_;
   const StoreEndpoint endpoint_;
   TopicFollowerOptions options_;
-  ReadSize read_size_;
+  ReadSize read_size_{options_.read_kilobytes};
   const Sink sink_;
   Items loaded_;
   std::uint64_t load_end_ = 0;
--- a/src/entry/store/topic_follower_options.h
+++ b/src/entry/store/topic_follower_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "clementineloom/workload/steady_time.h"
 
 namespace clementineloom::entry {
@@ -11,6 +13,9 @@
   /// Longest time for which the store holds a read that has no records. A broken connection is
   /// noticed only after it, so that it is short compared with the callers' timeouts.
   workload::Milliseconds wait{600};
+  /// Usual size limit of a read. Small enough that hundreds of readers of the same records are
+  /// answered before their reads time out.
+  std::uint32_t read_kilobytes = 128;
 
   friend auto operator<=>(const TopicFollowerOptions&, const TopicFollowerOptions&) = default;
 };
--- a/tests/entry/read_size_test.cc
+++ b/tests/entry/read_size_test.cc
@@ -2,18 +2,22 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+
 namespace clementineloom::entry {
 namespace {
 
 class ReadSizeTest : public testing::Test {
  protected:
-  ReadSize size_;
+  static constexpr std::uint32_t kUsualKilobytes = 128;
+
+  ReadSize size_{kUsualKilobytes};
 };
 
 // Guards against retries that are as large as the reads that timed out.
 TEST_F(ReadSizeTest, OnTimeout_Repeated_ShrinksToTheSmallestSize) {
   size_.OnTimeout();
-  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes / 2);
+  EXPECT_EQ(size_.kilobytes(), kUsualKilobytes / 2);
   for (int n = 0; n < 20; ++n) {
     size_.OnTimeout();
   }
@@ -25,11 +29,11 @@
   size_.OnTimeout();
   size_.OnTimeout();
   size_.OnRecords();
-  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes / 2);
+  EXPECT_EQ(size_.kilobytes(), kUsualKilobytes / 2);
   for (int n = 0; n < 20; ++n) {
     size_.OnRecords();
   }
-  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes);
+  EXPECT_EQ(size_.kilobytes(), kUsualKilobytes);
 }
 
 // Guards against a record that is larger than the usual size and never read.
@@ -39,7 +43,7 @@
   }
   EXPECT_EQ(size_.kilobytes(), ReadSize::kMaxKilobytes);
   size_.OnRecords();
-  EXPECT_EQ(size_.kilobytes(), ReadSize::kUsualKilobytes);
+  EXPECT_EQ(size_.kilobytes(), kUsualKilobytes);
 }
 
 }  // namespace
