Log why a worker counts as silent

Ruled out: the same text in start_refused: it has the reason of the refusal already. Change: worker_silent has a field detail.

--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -212,7 +212,7 @@
       worker.is_attached = false;
     }
     if (!lists) {
-      OnPollFailed(id);
+      OnPollFailed(id, result);
       return;
     }
     link.failures = 0;
@@ -247,12 +247,15 @@
     ApplyLists(id, *lists, sent_at);
   }
 
-  void OnPollFailed(const std::string& id) {
+  void OnPollFailed(const std::string& id, const net::ClientResult& result) {
     WorkerLink& link = core_.links[id];
     link.last_failure_at = core_.port.Now();
     if (link.failures++ == 0) {
-      logging::LogEvent(logging::LogLevel::kWarning, "worker_silent",
-                        {{"worker", id}, {"runs", core_.workers[id].runs.size()}});
+      logging::LogEvent(
+          logging::LogLevel::kWarning, "worker_silent",
+          {{"worker", id},
+           {"runs", core_.workers[id].runs.size()},
+           {"detail", result.refusal ? result.refusal->detail : "unexpected answer"}});
       RecordCheckpoints(id);
     }
     core_.BackOff(id, OwnerTiming::kFailureBackoff);
