Judge the age of the view by when a read was sent, not by when its answer was handled

What callers saw: 410 for a job that had been accepted three seconds before (LOST). Cause: an instance reports an unknown job as missing if its view of the store is at most 2.4 s old. The view counted as recent from when the answer of a read was handled. An answer that has waited, at a store whose bandwidth is used up or for a process that gets little processor time, is older than that by as long as it waited. Ruled out: a shorter limit: it depends on how long answers wait. Change: JobsView::IsStale uses the time at which the read was sent, as the owner's views do already.

--- a/src/entry/caller/caller_hooks.h
+++ b/src/entry/caller/caller_hooks.h
@@ -18,6 +18,9 @@
   std::function<void()> on_jobs_changed;
   /// When the store last answered a read of the jobs; empty before all jobs are loaded.
   std::function<std::optional<workload::SteadyTime>()> jobs_read_at;
+  /// Time before which all stored records of jobs are known; empty before all jobs are loaded. An
+  /// answer may have waited for this process, so that it is earlier than jobs_read_at.
+  std::function<std::optional<workload::SteadyTime>()> jobs_known_until;
   /// Whether the store is believed to be reachable.
   std::function<bool()> has_store;
   /// The instance that owns the workers; empty if it is this one or not known.
--- a/src/entry/caller/jobs_view.h
+++ b/src/entry/caller/jobs_view.h
@@ -31,8 +31,8 @@
 
   /// @brief Whether the view is too old to report a job as missing.
   [[nodiscard]] bool IsStale() const {
-    const auto read_at = hooks_.jobs_read_at();
-    return !read_at || port_.Now() - *read_at > kMaxAge;
+    const auto known_until = hooks_.jobs_known_until();
+    return !known_until || port_.Now() - *known_until > kMaxAge;
   }
 
  private:
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -61,10 +62,11 @@
         announcement_(port, appender_, {settings_.instance, settings_.listen, Millicores()}),
         peers_(port, settings_.instance),
         ownership_(port, jobs_topic_, jobs_, recent_starts_, operators_, metrics),
-        front_(port, jobs_, operators_, appender_, peers_, metrics,
-               {hooks_.answer, [this] { ownership_.OnJobsChanged(); },
-                [this] { return jobs_follower_.last_read_at(); }, [this] { return has_store_; },
-                [this] { return claims_.OtherOwner(); }}) {}
+        front_(
+            port, jobs_, operators_, appender_, peers_, metrics,
+            {hooks_.answer, [this] { ownership_.OnJobsChanged(); },
+             [this] { return jobs_follower_.last_read_at(); }, [this] { return JobsKnownUntil(); },
+             [this] { return has_store_; }, [this] { return claims_.OtherOwner(); }}) {}
 
   /// @brief Starts following the store. Call once.
   void Start() {
@@ -201,6 +203,13 @@
     }
   }
 
+  std::optional<workload::SteadyTime> JobsKnownUntil() const {
+    if (!jobs_follower_.last_read_at()) {
+      return std::nullopt;
+    }
+    return jobs_follower_.complete_until();
+  }
+
   void OnJobsReadFailed() {
     claims_.election().OnReadFailed();
     UpdateReady();
--- a/tests/entry/view_load_test.cc
+++ b/tests/entry/view_load_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <string>
 
 #include "entry/cluster_test.h"
@@ -89,5 +90,27 @@
   EXPECT_EQ(pages_of_a_start(2 * kPageDelay, kPageDelay), pages + 1);
 }
 
+// Guards against an instance that reports an accepted job as missing because it takes an answer
+// that has waited for its busy process for a recent view.
+TEST_F(ViewLoadTest,
+       Show_AfterAnAnswerOfTheStoreWaitedForTheProcess_ReportsNoAcceptedJobAsMissing) {
+  for (int n = 0; n < 20; ++n) {
+    StandInCluster cluster(2, 1, kRunTime);
+    const std::size_t owner = Owner(cluster);
+    const std::size_t other = 1 - owner;
+    cluster.RunFor(Milliseconds(37 * n));
+    cluster.port(other).Freeze();
+    cluster.RunFor(Milliseconds(600));
+    ASSERT_EQ(cluster.Submit(owner, kJob, kOneTask)->status, kOk);
+    cluster.RunFor(kMaxViewAge);
+    cluster.port(other).Thaw();
+    const std::uint64_t exchange = cluster.Send(other, "GET", kJobPath);
+    cluster.RunFor(Milliseconds(1'000));
+    const auto answer = cluster.AnswerTo(exchange);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_NE(answer->status, kGone) << n;
+  }
+}
+
 }  // namespace
 }  // namespace clementineloom::entry
