--- a/tests/entry/peer_router_test.cc
+++ b/tests/entry/peer_router_test.cc
@@ -113,7 +113,8 @@
 
 TEST_F(PeerRouterTest, ForwardTo_RefusedWithoutTheStore_LeavesThePeerUnavailable) {
   AddPeers({kUnavailable});
-  router_.ForwardTo("p1", {"POST", "/urgent/1", {}, {}}, Milliseconds(1'000), [](PeerOutcome) {});
+  router_.ForwardTo("p1", {"POST", "/urgent/1", {}, {}}, Milliseconds(1'000),
+                    [](const PeerOutcome&) {});
   world_.RunFor(Milliseconds(100));
   EXPECT_FALSE(router_.IsAvailable("p1"));
 }
