Look for peers with a newer view by when a read was sent

Cause: found in review: an instance whose view is stale because an answer had waited asked only peers that had read later than it had handled that answer, so that up to four were probed and none qualified. Ruled out: the same age for requests that wait for the store: two instances differ by more than the least lead there. Change: PeerFallback passes on the time since which records may be unknown.

--- a/src/entry/caller/jobs_view.h
+++ b/src/entry/caller/jobs_view.h
@@ -18,10 +18,12 @@
 
   /// @brief Time since the last answer of the store; an hour, as good as infinite, before the first
   /// one.
-  [[nodiscard]] workload::Milliseconds Age() const {
-    const auto read_at = hooks_.jobs_read_at();
-    return read_at ? std::chrono::duration_cast<workload::Milliseconds>(port_.Now() - *read_at)
-                   : workload::Milliseconds(std::chrono::hours(1));
+  [[nodiscard]] workload::Milliseconds Age() const { return Since(hooks_.jobs_read_at()); }
+
+  /// @brief Time since which records may have been stored that this instance does not know; an hour
+  /// before all jobs are loaded.
+  [[nodiscard]] workload::Milliseconds UnknownFor() const {
+    return Since(hooks_.jobs_known_until());
   }
 
   /// @brief Age(), or nothing while the store cannot be reached.
@@ -30,16 +32,19 @@
   }
 
   /// @brief Whether the view is too old to report a job as missing.
-  [[nodiscard]] bool IsStale() const {
-    const auto known_until = hooks_.jobs_known_until();
-    return !known_until || port_.Now() - *known_until > kMaxAge;
-  }
+  [[nodiscard]] bool IsStale() const { return UnknownFor() > kMaxAge; }
 
  private:
   // A job accepted by another instance must be visible here within this time, so that an older view
   // must not report a job as missing.
   static constexpr workload::Milliseconds kMaxAge{2'400};
 
+  [[nodiscard]] workload::Milliseconds Since(
+      const std::optional<workload::SteadyTime>& time) const {
+    return time ? std::chrono::duration_cast<workload::Milliseconds>(port_.Now() - *time)
+                : workload::Milliseconds(std::chrono::hours(1));
+  }
+
   Port& port_;
   const CallerHooks& hooks_;
 };
--- a/src/entry/caller/peer_fallback.h
+++ b/src/entry/caller/peer_fallback.h
@@ -28,7 +28,7 @@
       answers_.RefuseForNow(request.id, refusal);
       return;
     }
-    peers_.Forward(request.request, view_.Age(),
+    peers_.Forward(request.request, view_.UnknownFor(),
                    [this, exchange = request.id, refusal = std::move(refusal)](
                        PeerOutcome outcome) { Finish(exchange, refusal, std::move(outcome)); });
   }
