Claim only after a read that reached the end of the topic

Cause: found in review: with limited reads, an instance that is behind reads the last record of the dead owner long before the claim of its successor. It took the owner for silent, and a claim of an early turn would depose the successor. A read without records that does not reach the end was repeated without a pause if it already had the largest size. Change: such reads do not count for the election, and nothing is claimed until the end is reached; the empty read is retried after a pause. Comments of the follower say what its times mean.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -139,7 +139,10 @@
 
   // @param is_new whether the records were read as they were stored, not loaded
   void OnJobItems(const std::vector<TopicItem>& items, bool is_new) {
-    claims_.election().OnRead(port_.Now());
+    // A read that ends before the claim of a new owner does not show that the last one is silent.
+    if (jobs_follower_.is_reading()) {
+      claims_.election().OnRead(port_.Now());
+    }
     bool has_job_changes = false;
     for (const TopicItem& it : items) {
       has_job_changes = ApplyRecord(it, is_new) || has_job_changes;
--- a/src/entry/store/read_size.h
+++ b/src/entry/store/read_size.h
@@ -5,7 +5,8 @@
 
 namespace clementineloom::entry {
 
-/// @brief Size limit of the reads of a TopicFollower, which follows what the store sends in time.
+/// @brief Size limit of the reads of a TopicFollower: halved after a read without an answer,
+/// doubled after an answer with records.
 ///
 /// All instances read the same records and share the store's bandwidth. A read that times out is
 /// sent in full all the same, so that retries of large reads can use all of the bandwidth without
@@ -22,6 +23,7 @@
   static constexpr std::uint32_t kMaxKilobytes = 1'024;
 
   [[nodiscard]] std::uint32_t kilobytes() const { return kilobytes_; }
+  [[nodiscard]] bool is_largest() const { return kilobytes_ >= kMaxKilobytes; }
 
   /// @brief Notes an answer with records.
   void OnRecords() { kilobytes_ = std::min(2 * kilobytes_, usual_kilobytes_); }
@@ -31,7 +33,7 @@
   void OnRecordTooLarge() { kilobytes_ = std::min(2 * kilobytes_, kMaxKilobytes); }
 
   /// @brief Notes a read that was not answered.
-  void OnTimeout() { kilobytes_ = std::max(kilobytes_ / 2, kMinKilobytes); }
+  void OnNoAnswer() { kilobytes_ = std::max(kilobytes_ / 2, kMinKilobytes); }
 
  private:
   const std::uint32_t usual_kilobytes_;
--- a/src/entry/store/topic_follower.h
+++ b/src/entry/store/topic_follower.h
@@ -44,16 +44,17 @@
   /// @brief Starts the first load. Call once.
   void Start() { LoadPage({}); }
 
-  /// @brief Whether new records are read as they are appended; false during a load, which shows
-  /// none.
-  [[nodiscard]] bool is_reading() const { return is_loaded_ && !is_loading_; }
+  /// @brief Whether new records are read as they are appended: false during a load, which shows
+  /// none, and while the last read did not reach the end of the topic.
+  [[nodiscard]] bool is_reading() const { return is_loaded_ && !is_loading_ && is_at_end_; }
 
-  /// @brief Time up to which the view contains all stored records, taken when the answer was
-  /// handled; empty before the first load and during one that Reload requested.
+  /// @brief When the last answer that reached the end of the topic was handled; empty before the
+  /// first load and during one that Reload requested. The age of the view follows from
+  /// complete_until.
   [[nodiscard]] std::optional<workload::SteadyTime> last_read_at() const { return last_read_at_; }
 
-  /// @brief When the last answered read, or the request for the first page of the last load, was
-  /// sent: the view contains everything stored before. Unlike last_read_at it does not depend on
+  /// @brief When the last read that reached the end of the topic, or the request for the first page
+  /// of the last load, was sent: the view contains everything stored before. It does not depend on
   /// how long the answer waited for this process. Precondition: the sink has been called.
   [[nodiscard]] workload::SteadyTime complete_until() const { return complete_until_; }
 
@@ -128,6 +129,7 @@
     complete_until_ = load_sent_at_;
     is_loaded_ = true;
     is_loading_ = false;
+    is_at_end_ = true;
     must_reload_ = false;
     const auto alive = lifetime_.watch();
     sink_.on_reload(loaded_);
@@ -168,7 +170,7 @@
     auto batch = Platform::ParseRead(result, next_offset_);
     if (!batch) {
       if (!result.response) {
-        read_size_.OnTimeout();
+        read_size_.OnNoAnswer();
       }
       Retry([this] { Read(); });
       return;
@@ -178,29 +180,33 @@
     if (has_records) {
       next_offset_ = batch->items.back().offset + 1;
     }
-    const bool is_at_end = next_offset_ >= batch->end_offset;
-    if (is_at_end) {
+    is_at_end_ = next_offset_ >= batch->end_offset;
+    if (is_at_end_) {
       last_read_at_ = port_.Now();
       complete_until_ = sent_at;
     }
-    NoteSize(has_records, is_at_end);
+    if (!has_records && !is_at_end_ && read_size_.is_largest()) {
+      Retry([this] { Read(); });
+      return;
+    }
+    NoteSize(has_records);
     DropOlder(batch->items);
     const auto alive = lifetime_.watch();
     sink_.on_items(batch->items);
     if (alive.expired()) {
       return;
     }
-    if (has_records && is_at_end && options_.pause.count() > 0) {
+    if (has_records && is_at_end_ && options_.pause.count() > 0) {
       port_.After(options_.pause, lifetime_.Wrap([this] { Read(); }));
     } else {
       Read();
     }
   }
 
-  void NoteSize(bool has_records, bool is_at_end) {
+  void NoteSize(bool has_records) {
     if (has_records) {
       read_size_.OnRecords();
-    } else if (!is_at_end) {
+    } else if (!is_at_end_) {
       read_size_.OnRecordTooLarge();
     }
   }
@@ -252,6 +258,8 @@
   std::uint64_t next_offset_ = 0;
   bool is_loaded_ = false;
   bool is_loading_ = false;
+  // Whether the last load or read reached the end of the topic.
+  bool is_at_end_ = false;
   bool must_reload_ = false;
   std::uint32_t failures_ = 0;
   std::optional<workload::SteadyTime> last_read_at_;
--- a/tests/entry/read_size_test.cc
+++ b/tests/entry/read_size_test.cc
@@ -15,19 +15,19 @@
 };
 
 // Guards against retries that are as large as the reads that timed out.
-TEST_F(ReadSizeTest, OnTimeout_Repeated_ShrinksToTheSmallestSize) {
-  size_.OnTimeout();
+TEST_F(ReadSizeTest, OnNoAnswer_Repeated_ShrinksToTheSmallestSize) {
+  size_.OnNoAnswer();
   EXPECT_EQ(size_.kilobytes(), kUsualKilobytes / 2);
   for (int n = 0; n < 20; ++n) {
-    size_.OnTimeout();
+    size_.OnNoAnswer();
   }
   EXPECT_EQ(size_.kilobytes(), ReadSize::kMinKilobytes);
 }
 
 // Guards against reads that stay small after the store has recovered.
 TEST_F(ReadSizeTest, OnRecords_AfterTimeouts_ReturnsToTheUsualSize) {
-  size_.OnTimeout();
-  size_.OnTimeout();
+  size_.OnNoAnswer();
+  size_.OnNoAnswer();
   size_.OnRecords();
   EXPECT_EQ(size_.kilobytes(), kUsualKilobytes / 2);
   for (int n = 0; n < 20; ++n) {
