--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -1,9 +1,11 @@
-// The platform's store, a few workers and a client on loopback, for the scripts of review/6 to review/10.
+// The platform's store, a few workers and a client on loopback, for the scripts of review/6 to
+// review/10.
 //
 // usage: review-world SCENARIO TROUBLE FOLDER RECORD
-// Picks free ports, writes the settings of three entry instances into FOLDER, waits until they are ready, plays the
-// scenario, writes to RECORD what was sent, answered and run, and checks the rules TWICE and LOST as they are written.
-// Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+// Picks free ports, writes the settings of three entry instances into FOLDER, waits until they are
+// ready, plays the scenario, writes to RECORD what was sent, answered and run, and checks the rules
+// TWICE and LOST as they are written. Exit status: 0 the rule held, 1 it was broken, 2 the case
+// could not run.
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -81,7 +83,8 @@
   return response;
 }
 
-// Answers nothing if there is no response: the connection then stays silent until its caller closes it.
+// Answers nothing if there is no response: the connection then stays silent until its caller closes
+// it.
 using Handler = std::function<std::optional<Response>(const Request&)>;
 
 class Server {
@@ -404,9 +407,9 @@
       items.push_back(
           json::object{{"key", it->first}, {"value", Base64(value)}, {"offset", it->second}});
     }
-    return Json(200, {{"items", std::move(items)},
-                      {"hasMore", has_more},
-                      {"endOffset", topic.records.size()}});
+    return Json(
+        200,
+        {{"items", std::move(items)}, {"hasMore", has_more}, {"endOffset", topic.records.size()}});
   }
 
   std::map<std::string, Topic> topics_;
@@ -431,8 +434,12 @@
   bool has_lapsed = false;
 };
 std::deque<Run> runs;
+// Calls to workers, and those of them that the network made late.
+std::size_t calls = 0;
+std::size_t late_calls = 0;
 
-// --- The advice service. It allows every worker. A ticket holds for a step and a life of a worker, for kValidMs.
+// --- The advice service. It allows every worker. A ticket holds for a step and a life of a worker,
+// for kValidMs.
 
 constexpr std::int64_t kValidMs = 3'000;
 constexpr std::int64_t kFinishMs = 14'000;
@@ -597,6 +604,7 @@
     }
   }
 
+  bool is_up() const { return is_up_; }
   std::size_t CountRunning() const { return running_.size(); }
   std::int64_t last_hold_ms() const { return last_hold_ms_; }
 
@@ -666,10 +674,12 @@
            std::string(request["X-Clementineloom-Target-Instance"]));
       return Json(421, {{"clockMs", Clock()}});
     }
+    ++calls;
     if (late) {
       if (const auto delay_ms = late(path, body)) {
-        Note("network to " + id_ + ": no answer to " + Brief(path, body) +
-             ", which will arrive " + std::to_string(*delay_ms) + " ms late");
+        ++late_calls;
+        Note("network to " + id_ + ": no answer to " + Brief(path, body) + ", which will arrive " +
+             std::to_string(*delay_ms) + " ms late");
         std::thread([this, path, body, delay = *delay_ms] {
           std::this_thread::sleep_for(Ms(delay));
           const Guard again(lock);
@@ -863,6 +873,7 @@
       }
     }
   }
+  Note("calls to workers: " + std::to_string(calls) + ", late: " + std::to_string(late_calls));
   Note(is_broken ? "result: the rule TWICE was broken" : "result: the rule TWICE held");
   return is_broken;
 }
@@ -911,8 +922,8 @@
 
 void Submit(std::size_t instance, const std::string& job, std::int64_t work_ms,
             const std::string& label) {
-  json::object step{{"count", 1},      {"cpu", 52'000},        {"memMb", 140'000},
-                    {"gpus", 8},       {"estimateMs", work_ms}};
+  json::object step{
+      {"count", 1}, {"cpu", 52'000}, {"memMb", 140'000}, {"gpus", 8}, {"estimateMs", work_ms}};
   if (!label.empty()) {
     step["requirements"] = label;
   }
@@ -964,6 +975,11 @@
   return false;
 }
 
+bool IsNoted(const std::string& job) {
+  return std::any_of(runs.begin(), runs.end(),
+                     [&](const Run& it) { return it.task.starts_with(job) && it.is_noted; });
+}
+
 void WriteSettings(const std::string& folder, std::uint16_t store, std::uint16_t advice) {
   std::ofstream list(folder + "/instances.tmp");
   for (Instance& it : instances) {
@@ -991,12 +1007,10 @@
 }
 
 std::string Config() {
-  json::object route{{"name", "r-7ejsmzz"},   {"host", kHost},
-                     {"pathPrefix", "/lohu930/"}, {"type", "unsafe"},
-                     {"timeoutMs", 3'000},    {"targetLatencyMs", 1'000},
-                     {"priority", 1},         {"service", "inspect"},
-                     {"maxAttempts", 4},      {"stretch", 3.0},
-                     {"public", false}};
+  json::object route{{"name", "r-7ejsmzz"}, {"host", kHost},        {"pathPrefix", "/lohu930/"},
+                     {"type", "unsafe"},    {"timeoutMs", 3'000},   {"targetLatencyMs", 1'000},
+                     {"priority", 1},       {"service", "inspect"}, {"maxAttempts", 4},
+                     {"stretch", 3.0},      {"public", false}};
   if (decision_ms > 0) {
     route["advice"] = json::object{
         {"decisionMs", decision_ms}, {"perWorkerMs", per_worker_ms}, {"validMs", kValidMs}};
@@ -1039,10 +1053,18 @@
   CannotRun("the instances are not ready");
 }
 
-// --- Scenarios. Each plays for well under 60 s. Jobs that ask for the label "b" run on workers[0] only.
+// --- Scenarios. Each plays for well under 60 s. Jobs that ask for the label "b" run on workers[0]
+// only.
+
+// Other work, on workers of the other kind.
+void SubmitOtherWork() {
+  for (const char* job : {"00000000000000f1", "00000000000000f2", "00000000000000f3"}) {
+    Submit(2, job, 11'000, "a");
+  }
+}
 
-// Another writer leaves an entry of a service that no configuration names under the id of a worker at work. Its address
-// is that of another worker.
+// Another writer leaves an entry of a service that no configuration names under the id of a worker
+// at work. Its address is that of another worker.
 void OddEntry(bool has_trouble) {
   Submit(0, "00000000000000a1", 11'000, "");
   Await("the start", 5'000, [] { return IsStarted("00000000000000a1"); });
@@ -1077,8 +1099,8 @@
   Sleep(16'000);
 }
 
-// An order to start gets no answer and arrives 10 s late. Its repetition runs, is done and is taken note of. Then the
-// worker is replaced: it drains, leaves, and starts again under its id.
+// An order to start gets no answer and arrives 10 s late. Its repetition runs, is done and is taken
+// note of. Then the worker is replaced: it drains, leaves, and starts again under its id.
 void ReleasedWorker(bool has_trouble) {
   Worker& worker = *workers[0];
   const std::string job = "00000000000000a1";
@@ -1091,9 +1113,10 @@
                  : std::nullopt;
     };
   }
+  SubmitOtherWork();
   Submit(0, job, 1'500, "b");
   AwaitCompleted(job, 8'000);
-  Await("the end to be taken note of", 3'000, [] { return !runs.empty() && runs.back().is_noted; });
+  Await("the end to be taken note of", 3'000, [&] { return IsNoted(job); });
   if (has_trouble) {
     {
       const Guard held(lock);
@@ -1115,9 +1138,9 @@
   worker.late = nullptr;
 }
 
-// The call that takes note of an end gets no answer and arrives late, after its worker was killed and has started again
-// under its id. It makes the new process forget an end that nobody has read, because the call that would have listed it
-// has no answer either.
+// The call that takes note of an end gets no answer and arrives late, after its worker was killed
+// and has started again under its id. It makes the new process forget an end that nobody has read,
+// because the call that would have listed it has no answer either.
 void LateAcknowledgement(bool has_trouble) {
   Worker& worker = *workers[0];
   bool is_acknowledged = false;
@@ -1132,8 +1155,8 @@
       if (path != "/hold") {
         return std::nullopt;
       }
-      const bool acknowledges = body.contains("ackPosition") &&
-                                body.at("ackPosition").to_number<std::uint64_t>() > 0;
+      const bool acknowledges =
+          body.contains("ackPosition") && body.at("ackPosition").to_number<std::uint64_t>() > 0;
       if (acknowledges && !std::exchange(is_acknowledged, true)) {
         first_ms = NowMs();
         return kFirstLateMs;
@@ -1144,6 +1167,7 @@
       return std::nullopt;
     };
   }
+  SubmitOtherWork();
   Submit(0, "00000000000000a1", 1'000, "b");
   AwaitCompleted("00000000000000a1", 8'000);
   if (!has_trouble) {
@@ -1163,8 +1187,8 @@
     const Guard held(lock);
     worker.Restart();
   }
-  // The second job ends 350 ms before the late call arrives. The call that waits for its end meanwhile was sent 1.3 s
-  // after the start.
+  // The second job ends 350 ms before the late call arrives. The call that waits for its end
+  // meanwhile was sent 1.3 s after the start.
   constexpr std::int64_t kWorkMs = 2'400;
   while (NowMs() < first_ms + kFirstLateMs - kWorkMs - 370) {
     Sleep(5);
@@ -1181,8 +1205,9 @@
   worker.late = nullptr;
 }
 
-// A call that extends the lease gets no answer and arrives 11.8 s late, after its worker was killed and has started
-// again under its id, and while it is cut off. It extends the lease beyond what the caller counts with.
+// A call that extends the lease gets no answer and arrives 11.8 s late, after its worker was killed
+// and has started again under its id, and while it is cut off. It extends the lease beyond what the
+// caller counts with.
 void LateLease(bool has_trouble) {
   Worker* worker = nullptr;
   bool is_armed = false;
@@ -1241,8 +1266,8 @@
       CannotRun("the second job runs on another worker");
     }
   }
-  // The lease that the caller counts with from the restart on ends 10.5 s after it was noticed. The cut lasts 5.5 s and
-  // begins more than a second after the last renewal.
+  // The lease that the caller counts with from the restart on ends 10.5 s after it was noticed. The
+  // cut lasts 5.5 s and begins more than a second after the last renewal.
   while (NowMs() < late_ms + 8'600) {
     Sleep(5);
   }
@@ -1266,27 +1291,78 @@
   worker->late = nullptr;
 }
 
-// A queue with advice, whose service needs 2.2 s for a question about 30 workers. All workers are idle and allowed. The
-// rule LOST: 14 s after the end of the traffic the job has nothing running for 3 s though there is room.
-void SlowAdvice(bool) {
-  const std::string job = "00000000000000a1";
-  Submit(0, job, 2'500, "");
-  Sleep(kFinishMs);
+// The rule LOST: kFinishMs after the end of the traffic the job has nothing running for 3 s though
+// there is room.
+void CheckLost(const std::string& job, std::int64_t traffic_end_ms) {
+  Sleep(traffic_end_ms + kFinishMs - NowMs());
   bool is_broken = StateOf(1, job).find("completed") == std::string::npos;
-  for (const std::int64_t until = NowMs() + 3'000; is_broken && NowMs() < until; Sleep(10)) {
-    const Guard held(lock);
-    is_broken = !std::any_of(runs.begin(), runs.end(), [](const Run& it) { return !it.ended_ms; });
+  const std::int64_t until = NowMs() + 3'000;
+  while (is_broken && NowMs() < until) {
+    {
+      const Guard held(lock);
+      is_broken = std::none_of(runs.begin(), runs.end(), [&](const Run& it) {
+        return it.task.starts_with(job) && !it.ended_ms;
+      });
+    }
+    Sleep(10);
   }
   const std::string state = StateOf(1, job);
   const Guard held(lock);
   Note("client asks for job " + job + ": " + state);
-  if (is_broken) {
+  const auto idle = std::count_if(workers.begin(), workers.end(), [](const auto& it) {
+    return it->is_up() && it->CountRunning() == 0;
+  });
+  if (is_broken && idle >= 2 && 2 * idle > static_cast<std::int64_t>(workers.size())) {
     is_lost = true;
     Note("LOST broken: 14 s after the end of the traffic job " + job +
-         " has had nothing running for 3 s; " + std::to_string(workers.size()) +
-         " workers of 8 GPUs are idle, and " + std::to_string(runs.size()) +
-         " runs were ever started");
+         " has had nothing running for 3 s; " + std::to_string(idle) + " of " +
+         std::to_string(workers.size()) + " workers are up and idle");
+  }
+}
+
+// A queue with advice, whose service needs 2.2 s for a question about 30 workers. All workers are
+// idle and allowed.
+void SlowAdvice(bool) {
+  Submit(0, "00000000000000a1", 2'500, "");
+  CheckLost("00000000000000a1", NowMs());
+}
+
+// Two orders to start a task get no answer. Its worker drains meanwhile, and leaves for good.
+// Others are idle.
+void LeftWorker(bool has_trouble) {
+  const std::string job = "00000000000000a1";
+  Worker* worker = nullptr;
+  std::size_t used = 0;
+  if (has_trouble) {
+    const Guard held(lock);
+    for (const auto& it : workers) {
+      it->late = [&, at = it.get()](const std::string& path,
+                                    const json::object& body) -> std::optional<std::int64_t> {
+        const bool is_of_job =
+            path == "/run-start" && std::string(body.at("task").as_string()).starts_with(job);
+        if (!is_of_job || used == 2) {
+          return std::nullopt;
+        }
+        worker = at;
+        return ++used == 1 ? 10'000 : 9'000;
+      };
+    }
+  }
+  SubmitOtherWork();
+  Submit(0, job, 2'500, "");
+  const std::int64_t traffic_end_ms = NowMs();
+  if (has_trouble) {
+    Await("two orders", 4'000, [&] { return used == 2; });
+    Sleep(200);
+    {
+      const Guard held(lock);
+      worker->Drain();
+    }
+    Sleep(2'000);
+    const Guard held(lock);
+    worker->End(true);
   }
+  CheckLost(job, traffic_end_ms);
 }
 
 }  // namespace
@@ -1305,7 +1381,8 @@
       {"released-worker", ReleasedWorker},
       {"late-acknowledgement", LateAcknowledgement},
       {"late-lease", LateLease},
-      {"advice", SlowAdvice}};
+      {"advice", SlowAdvice},
+      {"left-worker", LeftWorker}};
   const auto play = scenarios.find(scenario);
   if (play == scenarios.end()) {
     std::cerr << "unknown scenario\n";
@@ -1320,10 +1397,11 @@
     per_worker_ms = has_trouble ? 50 : 10;
   }
   workers.push_back(std::make_unique<Worker>("i-7f3a91c2", "b", "kolka"));
-  for (const char* id : {"i-20c4de15", "i-51b0a7f3", "i-c93e6a08"}) {
+  for (const char* id : {"i-20c4de15", "i-3a9915f0", "i-51b0a7f3", "i-66d20b81", "i-90e7c34d",
+                         "i-c93e6a08", "i-e418af72"}) {
     workers.push_back(std::make_unique<Worker>(id, "a", "liepaja"));
   }
-  for (int n = 0; scenario == "advice" && n < 44; ++n) {
+  for (int n = 0; scenario == "advice" && n < 40; ++n) {
     workers.push_back(std::make_unique<Worker>("i-e" + std::to_string(100 + n), "a", "ventspils"));
   }
   {
@@ -1344,7 +1422,8 @@
       Sleep(5);
     }
   }).detach();
-  instances = {{"edge-kolka-1", "kolka"}, {"edge-liepaja-1", "liepaja"}, {"edge-ventspils-1", "ventspils"}};
+  instances = {
+      {"edge-kolka-1", "kolka"}, {"edge-liepaja-1", "liepaja"}, {"edge-ventspils-1", "ventspils"}};
   WriteSettings(folder, store.port(), advice.port());
   AwaitReady();
   {
