Log: step_waits and job_waits name the reason of a wait first

The lines of the record did not tell why: the counts stood behind the point at which the record is cut off, and a wait by choice for a rack had no reason at all.

Change: both lines begin with the reason (room, advice, reserve, data_rack, one_rack, claims, held_runs, next_plan) and the time after which a wait for a rack ends; the counts that decide and the forecast of urgent work follow. No decision changes.

--- a/include/clementineloom/workload/step_wait.h
+++ b/include/clementineloom/workload/step_wait.h
@@ -10,12 +10,13 @@
 #include "clementineloom/workload/run_stage.h"
 #include "clementineloom/workload/step_id.h"
 #include "clementineloom/workload/task_run.h"
+#include "clementineloom/workload/wait_reason.h"
 #include "clementineloom/workload/worker_counts.h"
 
 namespace clementineloom::workload {
 
-/// @brief What a step waits for: the run that keeps its first held task from starting, and the
-/// workers by what keeps the other tasks from them. An immutable value.
+/// @brief What a step waits for: the reason, the run that keeps its first held task from starting,
+/// and the workers by what keeps the other tasks from them. An immutable value.
 struct StepWait {
   /// A run that holds room for a task of the step, and where.
   struct HeldRun {
@@ -27,6 +28,9 @@
   };
 
   StepId step;
+  WaitReason reason = WaitReason::kNextPlan;
+  /// Time after which it no longer waits for a rack, in ms; 0 where it does not.
+  std::int64_t ends_in_ms = 0;
   /// Tasks of the step that are not done, and those of them whose runs hold room.
   std::uint32_t open_tasks = 0;
   std::uint32_t held_tasks = 0;
@@ -37,6 +41,8 @@
   WorkerCounts workers;
   /// Urgent tasks for which room is kept.
   std::size_t claims = 0;
+  /// Accelerators that urgent work of the service is expected to need.
+  std::int64_t urgent_forecast = 0;
 
   friend auto operator<=>(const StepWait&, const StepWait&) = default;
 };
--- a/src/ctl/trace/line_cause.cc
+++ b/src/ctl/trace/line_cause.cc
@@ -141,6 +141,13 @@
        {"usable", "usable"}}};
   std::string text = "no task of step " + Get(line, "step") + " was at work for " +
                      Get(line, "waited_ms") + " ms: " + Get(line, "open") + " not done";
+  // Lines of earlier versions lack the reason and some of the counts.
+  if (!line.Field("reason").empty()) {
+    text += ", reason " + Get(line, "reason");
+  }
+  if (const auto ends_in = line.Field("ends_in_ms"); !ends_in.empty() && ends_in != "0") {
+    text += " for up to " + Get(line, "ends_in_ms") + " ms more";
+  }
   if (!line.Field("held_task").empty()) {
     text += ", " + Get(line, "held") + " of them held, the first by run " + Get(line, "held_run") +
             " of task " + Get(line, "held_task") + " (" + Get(line, "held_stage") + ") on worker " +
@@ -148,7 +155,6 @@
   }
   text += "; workers:";
   for (const auto& [key, condition] : kWorkers) {
-    // Lines of earlier versions lack some of the counts.
     if (const auto count = line.Field(key); !count.empty() && count != "0") {
       text += " " + Get(line, key) + " " + std::string(condition) + ",";
     }
--- a/src/entry/owner/job_wait_log.h
+++ b/src/entry/owner/job_wait_log.h
@@ -11,17 +11,19 @@
 
 #include "clementineloom/workload/plan_request.h"
 #include "clementineloom/workload/step_id.h"
+#include "clementineloom/workload/step_waits.h"
 #include "codec/task_name.h"
 #include "entry/jobs/last_job_events.h"
 #include "entry/owner/run_stage_name.h"
+#include "entry/owner/wait_reason_name.h"
 #include "logging/event_budget.h"
 #include "logging/event_log.h"
 
 namespace clementineloom::entry {
 
 /// @brief Logs each job whose turn has come and that has had nothing at work for very long, once
-/// for each wait: its last event as this instance has read it, and the run that holds room for it.
-/// Thread safety: none; use from one thread.
+/// for each wait: what its step waits for, its last event as this instance has read it, and the run
+/// that holds room for it. Thread safety: none; use from one thread.
 class JobWaitLog {
  public:
   /// Precondition: the events outlive the log.
@@ -53,7 +55,7 @@
       return;
     }
     const HeldRuns held = HeldRunsOf(request);
-    for (const workload::StepId& it : due) {
+    for (const workload::StepWait& it : workload::DescribeStepWaits(request, due)) {
       Log(request, it, held, may_place);
     }
   }
@@ -88,8 +90,10 @@
     return std::chrono::duration_cast<workload::Milliseconds>(now - since).count();
   }
 
-  void Log(const workload::PlanRequest& request, const workload::StepId& step,
+  // The reason comes first, so that it stays in a line that is cut off.
+  void Log(const workload::PlanRequest& request, const workload::StepWait& wait,
            const HeldRuns& held_runs, bool may_place) {
+    const workload::StepId& step = wait.step;
     const JobEvent* event = events_.Find(step.job);
     const auto held = held_runs.find(step.job);
     const workload::PlacedRun* run = held == held_runs.end() ? nullptr : held->second.run;
@@ -99,6 +103,9 @@
          {"occurrence", step.occurrence},
          {"step", step.step},
          {"waited_ms", AgeMs(request.now, waits_.at(step.job).since)},
+         {"reason", WaitReasonName(wait.reason)},
+         {"ends_in_ms", wait.ends_in_ms},
+         {"may_place", may_place ? 1 : 0},
          {"last_event", event == nullptr ? "" : JobEventName(event->kind)},
          {"last_task", event == nullptr ? "" : event->task},
          {"last_run", event == nullptr ? 0 : event->run},
@@ -109,7 +116,6 @@
          {"held_run", run == nullptr ? 0 : run->run.run},
          {"held_by", run == nullptr ? std::string_view() : held->second.worker},
          {"held_stage", run == nullptr ? std::string_view() : RunStageName(run->stage)},
-         {"may_place", may_place ? 1 : 0},
          {"epoch", epoch_},
          {"left_out", budget_.TakeLeftOut()}});
   }
--- a/src/entry/owner/step_wait_log.h
+++ b/src/entry/owner/step_wait_log.h
@@ -10,6 +10,7 @@
 #include "clementineloom/workload/step_waits.h"
 #include "codec/task_name.h"
 #include "entry/owner/run_stage_name.h"
+#include "entry/owner/wait_reason_name.h"
 #include "logging/event_budget.h"
 #include "logging/event_log.h"
 
@@ -52,6 +53,7 @@
   static constexpr workload::Milliseconds kLongWait{3'000};
   static constexpr std::uint32_t kLinesPerSecond = 20;
 
+  // The reason and the counts come first, so that they stay in a line that is cut off.
   void Log(const workload::StepWait& wait, workload::Milliseconds waited) {
     const auto& held = wait.held_run;
     const workload::WorkerCounts& workers = wait.workers;
@@ -60,8 +62,21 @@
                        {"occurrence", wait.step.occurrence},
                        {"step", wait.step.step},
                        {"waited_ms", waited.count()},
+                       {"reason", WaitReasonName(wait.reason)},
+                       {"ends_in_ms", wait.ends_in_ms},
                        {"open", wait.open_tasks},
                        {"held", wait.held_tasks},
+                       {"usable", workers.usable},
+                       {"reserved", workers.reserved},
+                       {"full", workers.full},
+                       {"unattached", workers.unattached},
+                       {"backing_off", workers.backing_off},
+                       {"evacuated", workers.evacuated},
+                       {"leaving", workers.leaving},
+                       {"without_label", workers.without_label},
+                       {"unapproved", workers.unapproved},
+                       {"claims", wait.claims},
+                       {"urgent_forecast", wait.urgent_forecast},
                        {"held_task", held ? codec::TaskName(held->run.task) : ""},
                        {"held_run", held ? held->run.run : 0},
                        {"held_by", held ? held->worker : ""},
@@ -69,16 +84,6 @@
                        {"cpu", wait.needed.cpu_millicores},
                        {"memory_mb", wait.needed.memory_mb},
                        {"accelerators", wait.needed.accelerators},
-                       {"without_label", workers.without_label},
-                       {"leaving", workers.leaving},
-                       {"unattached", workers.unattached},
-                       {"backing_off", workers.backing_off},
-                       {"evacuated", workers.evacuated},
-                       {"full", workers.full},
-                       {"unapproved", workers.unapproved},
-                       {"reserved", workers.reserved},
-                       {"usable", workers.usable},
-                       {"claims", wait.claims},
                        {"left_out", budget_.TakeLeftOut()}});
   }
 
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -1,8 +1,11 @@
 #include "clementineloom/workload/step_waits.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <string_view>
 
+#include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidates.h"
@@ -83,7 +86,9 @@
   return detail::IsAllowed(*room, step, request) ? counts.usable : counts.unapproved;
 }
 
-void CountTasks(const JobEntry& job, const PlanRequest& request, StepWait& wait) {
+// Counts the open and held tasks of a step. Returns the others: those that may start.
+std::vector<std::uint32_t> CountTasks(const JobEntry& job, const PlanRequest& request,
+                                      StepWait& wait) {
   std::set<std::uint32_t> held;
   for (const auto& [id, worker] : request.workers) {
     for (const auto& [run, placed] : worker.runs) {
@@ -97,24 +102,90 @@
     }
   }
   wait.held_tasks = static_cast<std::uint32_t>(held.size());
+  std::vector<std::uint32_t> waiting;
   for (std::uint32_t index = 0; index < job.submission->steps[wait.step.step].task_count; ++index) {
-    wait.open_tasks += job.Task({wait.step, index}).phase != TaskPhase::kDone ? 1 : 0;
+    if (job.Task({wait.step, index}).phase != TaskPhase::kDone) {
+      ++wait.open_tasks;
+      if (!held.contains(index)) {
+        waiting.push_back(index);
+      }
+    }
+  }
+  return waiting;
+}
+
+// The tasks of a step that fit on the workers of each counter.
+struct FittingTasks {
+  std::int64_t usable = 0;
+  std::int64_t reserved = 0;
+  std::int64_t unapproved = 0;
+};
+
+// Counts the workers of the step's service.
+FittingTasks CountWorkers(const detail::StartCandidate& step, const PlanRequest& request,
+                          const detail::RoomTable& rooms, WorkerCounts& counts) {
+  FittingTasks fitting;
+  const std::map<const std::uint32_t*, std::int64_t*> tasks_by_counter{
+      {&counts.usable, &fitting.usable},
+      {&counts.reserved, &fitting.reserved},
+      {&counts.unapproved, &fitting.unapproved}};
+  for (const auto& [id, worker] : request.workers) {
+    if (worker.info.service != step.job->submission->queue.service) {
+      continue;
+    }
+    std::uint32_t& counter = CounterOf(worker, step, request, rooms, counts);
+    ++counter;
+    if (const auto it = tasks_by_counter.find(&counter); it != tasks_by_counter.end()) {
+      const detail::WorkerRoom& room = *rooms.Find(id);
+      *it->second += detail::FitCount(room, room.free, step);
+    }
   }
+  return fitting;
+}
+
+WaitReason ReasonOf(const detail::StartCandidate& step, const PlanRequest& request,
+                    const detail::RoomTable& rooms, const StepWait& wait,
+                    const FittingTasks& fitting) {
+  const bool is_gang = step.spec().is_gang;
+  if (step.task_indexes.empty() || (is_gang && wait.held_tasks > 0)) {
+    return WaitReason::kHeldRuns;
+  }
+  const auto needed = is_gang ? static_cast<std::int64_t>(step.task_indexes.size()) : 1;
+  if (fitting.usable + fitting.reserved + fitting.unapproved < needed) {
+    return WaitReason::kRoom;
+  }
+  if (fitting.usable + fitting.reserved < needed) {
+    return WaitReason::kAdvice;
+  }
+  if (fitting.usable < needed) {
+    return WaitReason::kReserve;
+  }
+  if (detail::WaitsForDataRack(step, rooms, request.unix_now_ms)) {
+    return WaitReason::kDataRack;
+  }
+  if (detail::WaitsForOneRack(step, rooms, request.unix_now_ms)) {
+    return WaitReason::kOneRack;
+  }
+  return request.claims.empty() ? WaitReason::kNextPlan : WaitReason::kClaims;
 }
 
 StepWait DescribeWait(const PlanRequest& request, const StepId& step,
                       const detail::RoomTable& rooms) {
   const JobEntry& job = *request.jobs.Find(step.job);
-  const detail::StartCandidate candidate{&job, step, {}, job.submission->DueAtMs(step.occurrence)};
+  const std::string& service = job.submission->queue.service;
   StepWait wait;
   wait.step = step;
+  const detail::StartCandidate candidate{&job, step, CountTasks(job, request, wait),
+                                         job.submission->DueAtMs(step.occurrence)};
   wait.needed = candidate.spec().Reserved();
   wait.claims = request.claims.size();
-  CountTasks(job, request, wait);
-  for (const auto& [id, worker] : request.workers) {
-    if (worker.info.service == job.submission->queue.service) {
-      ++CounterOf(worker, candidate, request, rooms, wait.workers);
-    }
+  if (const auto it = request.urgent_reserve.find(service); it != request.urgent_reserve.end()) {
+    wait.urgent_forecast = it->second;
+  }
+  const FittingTasks fitting = CountWorkers(candidate, request, rooms, wait.workers);
+  wait.reason = ReasonOf(candidate, request, rooms, wait, fitting);
+  if (wait.reason == WaitReason::kDataRack || wait.reason == WaitReason::kOneRack) {
+    wait.ends_in_ms = detail::RackWaitLeftMs(candidate, request.unix_now_ms);
   }
   return wait;
 }
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "clementineloom/workload/detail/guarantee_table.h"
+#include "clementineloom/workload/detail/rack_fit.h"
+#include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/standing_of.h"
@@ -20,17 +22,10 @@
 namespace {
 
 using detail::ChooseRoom;
-using detail::FitCount;
-using detail::IsAllowed;
 using detail::ObjectiveStanding;
 using detail::StartCandidate;
 using detail::WorkerRoom;
 
-// Shortest wait for room near the data or on one rack. A step with a longer estimate waits for that
-// long, because its tasks take a multiple of the estimate elsewhere.
-constexpr std::int64_t kMinWaitForRackMs = 500;
-// Longest wait of an urgent step for a rack, a fraction of the time in which it has to begin.
-constexpr std::int64_t kMaxUrgentWaitMs = 700;
 // Wait of a guaranteed gang for a rack before runs are stopped for it on several; longer, because
 // other jobs lose work then, and the gang itself runs much slower.
 constexpr std::int64_t kMaxGuaranteedRackWaitMs = 1'500;
@@ -129,29 +124,15 @@
     return {worker, std::move(placed), request_.advice.Ticket(step.step, worker, request_.now)};
   }
 
-  // Whether any eligible worker is on the rack of the data, regardless of its free room.
-  bool HasDataRack(const StartCandidate& step) const {
-    const std::vector<WorkerRoom*>& rooms = rooms_.On(step.spec().data_rack);
-    return std::any_of(rooms.begin(), rooms.end(),
-                       [&](const WorkerRoom* it) { return IsEligible(*it->worker, step); });
-  }
-
-  bool IsWorthWaiting(const StartCandidate& step) const {
-    const std::int64_t wait_ms = step.priority() == kPreemptingPriority
-                                     ? kMaxUrgentWaitMs
-                                     : std::max(kMinWaitForRackMs, step.spec().estimate_ms);
-    return request_.unix_now_ms < step.due_at_ms + wait_ms;
-  }
-
   bool MayStopOnSeveralRacks(const StartCandidate& step) const {
     return step.is_guaranteed && request_.unix_now_ms >= step.due_at_ms + kMaxGuaranteedRackWaitMs;
   }
 
   WorkerRoom* ChooseNearData(const StartCandidate& step) {
     const std::string& rack = step.spec().data_rack;
-    if (!rack.empty() && HasDataRack(step)) {
+    if (!rack.empty()) {
       WorkerRoom* near = ChooseRoom(rooms_.On(rack), step, request_);
-      if (near != nullptr || IsWorthWaiting(step)) {
+      if (near != nullptr || WaitsForDataRack(step, rooms_, request_.unix_now_ms)) {
         return near;
       }
     }
@@ -178,12 +159,12 @@
 
   void PlaceGang(const StartCandidate& step) {
     const StepSpec& spec = step.spec();
-    if (!spec.data_rack.empty() && HasDataRack(step) &&
-        (PlaceGangOn(step, spec.data_rack) || IsWorthWaiting(step))) {
+    if (!spec.data_rack.empty() && (PlaceGangOn(step, spec.data_rack) ||
+                                    WaitsForDataRack(step, rooms_, request_.unix_now_ms))) {
       return;
     }
     if (spec.prefers_one_rack &&
-        (PlaceGangOnAnyRack(step) || (IsWorthWaiting(step) && CanAnyRackHold(step)))) {
+        (PlaceGangOnAnyRack(step) || WaitsForOneRack(step, rooms_, request_.unix_now_ms))) {
       return;
     }
     PlaceGangOn(step, {});
@@ -201,7 +182,7 @@
       const std::pair cost{is_urgent != rack.rooms.front()->is_reserved, rack.free_accelerators};
       const bool may_be_best = best == nullptr || cost < best_cost;
       if (may_be_best && step.Accelerators() <= rack.free_accelerators &&
-          HasRoomForGang(step, rack.rooms)) {
+          HasRoomForAll(step, rack.rooms, request_)) {
         best = &name;
         best_cost = cost;
       }
@@ -209,37 +190,10 @@
     return best != nullptr && PlaceGangOn(step, *best);
   }
 
-  // Whether any rack could hold all members if nothing else ran there.
-  bool CanAnyRackHold(const StartCandidate& step) const {
-    return std::any_of(rooms_.racks().begin(), rooms_.racks().end(), [&](const auto& rack) {
-      return AreEnough(step, rack.second.rooms, [&](const WorkerRoom& it) {
-        return IsEligible(*it.worker, step) ? FitCount(it, it.worker->info.capacity, step) : 0;
-      });
-    });
-  }
-
-  bool HasRoomForGang(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) const {
-    return AreEnough(step, rooms, [&](const WorkerRoom& it) {
-      const std::int64_t count = FitCount(it, it.free, step);
-      return count > 0 && IsAllowed(it, step, request_) ? count : 0;
-    });
-  }
-
-  // Whether rooms hold all members of a gang, by the count for each room.
-  template <class Count>
-  static bool AreEnough(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
-                        Count count) {
-    auto missing = static_cast<std::int64_t>(step.task_indexes.size());
-    for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
-      missing -= count(**it);
-    }
-    return missing <= 0;
-  }
-
   // Places a whole gang on the workers of a rack, or nothing.
   bool PlaceGangOn(const StartCandidate& step, const std::string& rack) {
     const std::vector<WorkerRoom*>& rooms = rooms_.On(rack);
-    if (step.Accelerators() > rooms_.free_accelerators() || !HasRoomForGang(step, rooms)) {
+    if (step.Accelerators() > rooms_.free_accelerators() || !HasRoomForAll(step, rooms, request_)) {
       return false;
     }
     const std::string checkpoint = GangCheckpoint(step);
--- a/tests/entry/job_wait_log_test.cc
+++ b/tests/entry/job_wait_log_test.cc
@@ -36,6 +36,16 @@
   EXPECT_TRUE(log_.Contains("last_event=submitted"));
 }
 
+// Guards against lines whose deciding fields stand behind the point at which records are cut off.
+TEST_F(JobWaitLogTest, Lines_OfAJobThatStandsStill_BeginWithTheReason) {
+  StandInCluster cluster(2, 1, kRunTime);
+  (void)cluster.Submit(Owner(cluster), kJob, kUnknownLabel);
+  cluster.RunFor(kVeryLong);
+  EXPECT_TRUE(log_.Contains(
+      " reason=room ends_in_ms=0 open=1 held=0 usable=0 reserved=0 full=0 unattached=0"));
+  EXPECT_TRUE(log_.Contains(" reason=room ends_in_ms=0 may_place=1 last_event=submitted"));
+}
+
 // Guards against a line that is missing while the owner places nothing: a plan is then not made.
 TEST_F(JobWaitLogTest, Job_WhileTheOwnerPlacesNothing_HasALineThatSaysSo) {
   StandInCluster cluster(1, 1, kRunTime);
--- a/tests/workload/step_waits_test.cc
+++ b/tests/workload/step_waits_test.cc
@@ -16,6 +16,8 @@
 class StepWaitsTest : public PlannerTest {
  protected:
   static constexpr const char* kJob = "00000000000000a1";
+  static constexpr std::int64_t kNowMs = 100'000;
+  static constexpr std::int64_t kEstimateMs = 9'000;
 
   void SubmitSteps(StepSpec first, StepSpec second) {
     second.depends_on = {0};
@@ -35,11 +37,19 @@
     workers_[worker].Add(run);
   }
   [[nodiscard]] PlanRequest Request() const {
-    return {jobs_, workers_, evacuated_, advice_, claims_, now_, 100'000, teams_};
+    return {jobs_, workers_, evacuated_, advice_, claims_, now_, kNowMs, teams_, reserve_};
+  }
+  // What the only step of a job, accepted now, waits for.
+  [[nodiscard]] StepWait WaitOf(StepSpec step) {
+    step.estimate_ms = kEstimateMs;
+    Submit(kJob, std::move(step), 1, kNowMs);
+    return DescribeStepWait(Request(), {kJob, 0, 0});
   }
   [[nodiscard]] std::vector<StepId> Waiting(const std::set<std::string>& silent = {}) const {
     return WaitingSteps(Request(), silent);
   }
+
+  AcceleratorsByService reserve_;
 };
 
 // Guards against a log that names a step whose turn has not come, or not the one whose turn it is.
@@ -99,5 +109,66 @@
   EXPECT_FALSE(wait.held_run);
 }
 
+// Guards against a wait for the rack of the data that looks like a lack of room.
+TEST_F(StepWaitsTest, Reason_OfAStepWhoseDataRackIsFull_IsTheDataRackAndItsEnd) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  workers_["w1"].used = kCapacity;
+  StepSpec step = Step(1, 1);
+  step.data_rack = "r1";
+  const StepWait wait = WaitOf(step);
+  EXPECT_EQ(wait.reason, WaitReason::kDataRack);
+  EXPECT_EQ(wait.ends_in_ms, kEstimateMs);
+}
+
+// Guards against a gang's wait for a rack that looks like a lack of room.
+TEST_F(StepWaitsTest, Reason_OfAGangThatFitsOnSeveralRacksOnly_IsOneRackAndItsEnd) {
+  for (const char* it : {"w1", "w2"}) {
+    AddWorker(it, "r1");
+  }
+  AddWorker("w3", "r2");
+  workers_["w1"].used = kCapacity;
+  StepSpec gang = Step(2, 8);
+  gang.is_gang = true;
+  gang.prefers_one_rack = true;
+  const StepWait wait = WaitOf(gang);
+  EXPECT_EQ(wait.reason, WaitReason::kOneRack);
+  EXPECT_EQ(wait.ends_in_ms, kEstimateMs);
+}
+
+// Guards against a gang that the reserve keeps waiting and whose line shows usable workers only.
+TEST_F(StepWaitsTest, Reason_OfAGangThatFitsWithReservedWorkersOnly_IsTheReserveAndItsForecast) {
+  for (const char* it : {"w1", "w2", "w3"}) {
+    AddWorker(it, it);
+  }
+  reserve_ = {{"inspect", 8}};
+  StepSpec gang = Step(3, 8);
+  gang.is_gang = true;
+  const StepWait wait = WaitOf(gang);
+  EXPECT_EQ(wait.reason, WaitReason::kReserve);
+  EXPECT_EQ(wait.urgent_forecast, 8);
+}
+
+// Guards against a lack of room that looks like a choice.
+TEST_F(StepWaitsTest, Reason_OfAGangWiderThanTheRoom_IsRoom) {
+  AddWorker("w1", "r1");
+  StepSpec gang = Step(2, 8);
+  gang.is_gang = true;
+  EXPECT_EQ(WaitOf(gang).reason, WaitReason::kRoom);
+}
+
+// Guards against a line that names a lack of room while a run of the step still has to end.
+TEST_F(StepWaitsTest, Reason_OfATaskThatIsBeingStopped_IsItsRun) {
+  AddWorker("w1", "r1");
+  Hold("w1", 0, RunStage::kStopping);
+  EXPECT_EQ(WaitOf(Step(1, 1)).reason, WaitReason::kHeldRuns);
+}
+
+// Guards against a step that is about to start and seems to wait for something.
+TEST_F(StepWaitsTest, Reason_OfAStepWithRoom_IsTheNextPlan) {
+  AddWorker("w1", "r1");
+  EXPECT_EQ(WaitOf(Step(1, 1)).reason, WaitReason::kNextPlan);
+}
+
 }  // namespace
 }  // namespace clementineloom::workload
