--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -51,7 +51,7 @@
       {"zone", "kolka"},
       {"state", state},
       {"remainingMs", remaining_ms},
-      {"labels", json::array{"a", "r1"}},
+      {"labels", json::array{"a", rack_}},
       {"born", started_at_ms_ + 1},
       {"capacity", json::object{{"cpu", 8'000}, {"memMb", 1'000}, {"gpus", accelerators_}}}});
 }
--- a/tests/standin/standin_worker.h
+++ b/tests/standin/standin_worker.h
@@ -45,6 +45,8 @@
   void Observe(RunObserver observer) { observer_ = std::move(observer); }
   /// @brief Sets the address under which it registers, if a proxy stands before its own.
   void SetAdvertisedAddress(std::string address) { advertised_address_ = std::move(address); }
+  /// @brief Sets the rack that it names when it registers.
+  void SetRack(std::string rack) { rack_ = std::move(rack); }
   /// @brief Sets the accelerators of the worker, and whether it rejects starts beyond them.
   void SetAccelerators(std::int64_t count, bool enforces) {
     accelerators_ = count;
@@ -153,6 +155,7 @@
   StandInGangs* gangs_ = nullptr;
   RunObserver observer_;
   std::string advertised_address_;
+  std::string rack_ = "r1";
   std::int64_t accelerators_ = 8;
   bool enforces_capacity_ = false;
   workload::Milliseconds start_delay_{0};
