A rack that can never hold a step is not waited for

Callers saw: a gang stands still in an empty fleet (LOST). It was wider than the rack of its data and waited for that rack for as long as its caller had estimated.

Cause: only the wait of gangs that prefer one rack asked whether any rack could hold them; the wait for the rack of the data asked only for one eligible worker there. The same held for a task that is larger than every worker of that rack.

Ruled out: claims, reserve and advice; the fleet of the test runs nothing else.

Change: CanDataRackHold counts what the rack could hold if nothing else ran there: a task of a step, or all of a gang.

--- a/include/clementineloom/workload/detail/rack_fit.h
+++ b/include/clementineloom/workload/detail/rack_fit.h
@@ -18,8 +18,8 @@
 /// Thread safety: a pure function.
 [[nodiscard]] bool CanAnyRackHold(const StartCandidate& step, const RoomTable& rooms);
 
-/// @brief Whether any eligible worker is on the rack of a step's data, regardless of its free room.
-/// Thread safety: a pure function.
-[[nodiscard]] bool HasDataRack(const StartCandidate& step, const RoomTable& rooms);
+/// @brief Whether the rack of a step's data could hold a task of the step, or all of a gang, if
+/// nothing else ran there. Thread safety: a pure function.
+[[nodiscard]] bool CanDataRackHold(const StartCandidate& step, const RoomTable& rooms);
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/rack_fit.cc
+++ b/src/workload/detail/rack_fit.cc
@@ -18,6 +18,11 @@
   return missing <= 0;
 }
 
+// The tasks of a step that a worker could hold if nothing else ran there.
+std::int64_t CountInEmpty(const WorkerRoom& room, const StartCandidate& step) {
+  return IsEligible(*room.worker, step) ? FitCount(room, room.worker->info.capacity, step) : 0;
+}
+
 }  // namespace
 
 bool HasRoomForAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
@@ -30,16 +35,17 @@
 
 bool CanAnyRackHold(const StartCandidate& step, const RoomTable& rooms) {
   return std::any_of(rooms.racks().begin(), rooms.racks().end(), [&](const auto& rack) {
-    return AreEnough(step, rack.second.rooms, [&](const WorkerRoom& it) {
-      return IsEligible(*it.worker, step) ? FitCount(it, it.worker->info.capacity, step) : 0;
-    });
+    return AreEnough(step, rack.second.rooms,
+                     [&](const WorkerRoom& it) { return CountInEmpty(it, step); });
   });
 }
 
-bool HasDataRack(const StartCandidate& step, const RoomTable& rooms) {
+bool CanDataRackHold(const StartCandidate& step, const RoomTable& rooms) {
   const std::vector<WorkerRoom*>& on_rack = rooms.On(step.spec().data_rack);
-  return std::any_of(on_rack.begin(), on_rack.end(),
-                     [&](const WorkerRoom* it) { return IsEligible(*it->worker, step); });
+  const auto count = [&](const WorkerRoom& it) { return CountInEmpty(it, step); };
+  return step.spec().is_gang ? AreEnough(step, on_rack, count)
+                             : std::any_of(on_rack.begin(), on_rack.end(),
+                                           [&](const WorkerRoom* it) { return count(*it) > 0; });
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/rack_wait.cc
+++ b/src/workload/detail/rack_wait.cc
@@ -25,7 +25,7 @@
 bool WaitsForDataRack(const StartCandidate& step, const RoomTable& rooms,
                       std::int64_t unix_now_ms) {
   return !step.spec().data_rack.empty() && RackWaitLeftMs(step, unix_now_ms) > 0 &&
-         HasDataRack(step, rooms);
+         CanDataRackHold(step, rooms);
 }
 
 bool WaitsForOneRack(const StartCandidate& step, const RoomTable& rooms, std::int64_t unix_now_ms) {
