Service tasks wait for a rack for half a second at most

Callers would see: a task that runs until it is cancelled is not at work for as long as its caller estimates, while its data's rack is full and other workers are free.

Cause: the wait for a rack followed the estimate of the step, which means nothing for a task without an end.

Change: such steps wait for the shortest time, 500 ms after they are due.

--- a/src/workload/detail/rack_wait.cc
+++ b/src/workload/detail/rack_wait.cc
@@ -13,13 +13,19 @@
 // Longest wait of an urgent step for a rack, a fraction of the time in which it has to begin.
 constexpr std::int64_t kMaxUrgentWaitMs = 700;
 
+std::int64_t LongestWaitMs(const StartCandidate& step) {
+  if (step.priority() == kPreemptingPriority) {
+    return kMaxUrgentWaitMs;
+  }
+  // Each task of a service has to be at work, whatever the others do.
+  return step.spec().runs_until_cancelled ? kMinWaitForRackMs
+                                          : std::max(kMinWaitForRackMs, step.spec().estimate_ms);
+}
+
 }  // namespace
 
 std::int64_t RackWaitLeftMs(const StartCandidate& step, std::int64_t unix_now_ms) {
-  const std::int64_t wait_ms = step.priority() == kPreemptingPriority
-                                   ? kMaxUrgentWaitMs
-                                   : std::max(kMinWaitForRackMs, step.spec().estimate_ms);
-  return std::max<std::int64_t>(0, step.due_at_ms + wait_ms - unix_now_ms);
+  return std::max<std::int64_t>(0, step.due_at_ms + LongestWaitMs(step) - unix_now_ms);
 }
 
 bool WaitsForDataRack(const StartCandidate& step, const RoomTable& rooms,
