No job stands still beside free room for better room

Cause: the planner waits by choice for the rack of the data, for one rack, or beside room that is kept for urgent work. The first two lasted for the step's estimate, which a caller sets without a bound, from the acceptance on; the third for as long as urgent work keeps coming. Nothing looked at whether the fleet was idle meanwhile.

That a reserve did the same to a job of the users is not shown.

Ruled out for that job: lost or held runs (held=0, last_event=submitted), claims (0), advice (unapproved=0), workers that are not attached (0).

Change: the owner notes by its steady clock since when each step of a job with nothing at work has waited (WaitTimes, shared with the step_waits line). After 1.5 s of the rule's 3 s the planner starts one task, or the gang, in any room that it fits in, also reserved room, unless 60% of every resource of the service is in use. It is one rule after all waits by choice, so that a new one is bounded too.

--- a/include/clementineloom/workload/detail/room_choice.h
+++ b/include/clementineloom/workload/detail/room_choice.h
@@ -13,8 +13,8 @@
 /// @brief Whether a step may run on a worker, whatever room is free there.
 [[nodiscard]] bool IsEligible(const PoolWorker& worker, const StartCandidate& step);
 
-/// @brief Whether a step may take room that is kept for urgent work: it is urgent itself, or a
-/// service whose tasks have to be available at all times.
+/// @brief Whether a step may take room that is kept for urgent work: it is urgent itself, a
+/// service whose tasks have to be available at all times, or has waited for too long.
 [[nodiscard]] bool MayUseReserve(const StartCandidate& step);
 
 /// @brief Whether a step may run on a worker and has the advice that its queue needs.
--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -22,6 +22,9 @@
   /// Guaranteed, and it has waited long enough to go before all other steps, and to have urgent
   /// runs beyond guarantees stopped for it.
   bool may_reclaim = false;
+  /// It has waited for so long beside free room that it takes any, also room that is kept for
+  /// urgent work.
+  bool takes_any_room = false;
   /// What its job can still reach.
   ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -11,6 +11,7 @@
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/room_claim.h"
 #include "clementineloom/workload/steady_time.h"
+#include "clementineloom/workload/step_id.h"
 #include "clementineloom/workload/team_access.h"
 #include "clementineloom/workload/worker_pool.h"
 
@@ -32,6 +33,9 @@
   /// Accelerators to keep free of less urgent work, by service, for urgent work that is about to
   /// arrive.
   AcceleratorsByService urgent_reserve = {};
+  /// Steps of jobs that have had nothing at work for long, in their order. Beside free room they no
+  /// longer wait for better room.
+  std::span<const StepId> overdue_steps = {};
 };
 
 }  // namespace clementineloom::workload
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -229,7 +229,7 @@
     drain_moves_.Check(kTickInterval);
     RemoveExpiredJobs(now);
     UpdatePoolMetrics(now);
-    placement_.LogWaits();
+    placement_.CheckWaits();
     placement_.SchedulePlan();
     core_.port.After(kTickInterval, core_.Guard([this] { Tick(); }));
   }
--- a/src/entry/owner/step_wait_log.h
+++ b/src/entry/owner/step_wait_log.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
-#include <map>
-#include <span>
+#include <set>
 #include <utility>
 #include <vector>
 
 #include "clementineloom/workload/step_waits.h"
+#include "clementineloom/workload/wait_times.h"
 #include "codec/task_name.h"
 #include "entry/owner/run_stage_name.h"
 #include "entry/owner/wait_reason_name.h"
@@ -21,34 +20,26 @@
 class StepWaitLog {
  public:
   /// @brief Logs the steps that have waited for long and were not logged before.
-  /// @param waiting all steps that wait now
-  void Check(const workload::PlanRequest& request, std::span<const workload::StepId> waiting) {
-    std::map<workload::StepId, Wait> waits;
+  /// @param times of all steps that wait now
+  void Check(const workload::PlanRequest& request, const workload::WaitTimes& times) {
+    std::set<workload::StepId> logged;
     std::vector<workload::StepId> due;
-    for (const workload::StepId& it : waiting) {
-      const auto known = waits_.find(it);
-      Wait wait = known == waits_.end() ? Wait{request.now, false} : known->second;
-      const bool is_long = request.now - wait.since >= kLongWait;
-      if (is_long && !wait.is_logged && budget_.Allow(request.now)) {
+    for (const workload::StepId& it : times.LongerThan(kLongWait)) {
+      if (logged_.contains(it)) {
+        logged.insert(it);
+      } else if (budget_.Allow(request.now)) {
+        logged.insert(it);
         due.push_back(it);
-        wait.is_logged = true;
       }
-      waits.emplace(it, wait);
     }
-    waits_ = std::move(waits);
+    logged_ = std::move(logged);
     // Together, because the rooms of all workers are counted for the first of them.
     for (const workload::StepWait& it : workload::DescribeStepWaits(request, due)) {
-      const auto waited = request.now - waits_.at(it.step).since;
-      Log(it, std::chrono::duration_cast<workload::Milliseconds>(waited));
+      Log(it, times.LengthOf(it.step));
     }
   }
 
  private:
-  struct Wait {
-    workload::SteadyTime since;
-    bool is_logged = false;
-  };
-
   // Most steps find room, or their runs begin, well within this time.
   static constexpr workload::Milliseconds kLongWait{3'000};
   static constexpr std::uint32_t kLinesPerSecond = 20;
@@ -87,8 +78,8 @@
                        {"left_out", budget_.TakeLeftOut()}});
   }
 
-  // Steps that wait, since when, and whether they have been logged.
-  std::map<workload::StepId, Wait> waits_;
+  // Steps that wait and have been logged.
+  std::set<workload::StepId> logged_;
   logging::EventBudget budget_{kLinesPerSecond};
 };
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -14,6 +14,7 @@
 #include "clementineloom/workload/step_waits.h"
 #include "clementineloom/workload/task_planner.h"
 #include "clementineloom/workload/urgent_demand.h"
+#include "clementineloom/workload/wait_times.h"
 #include "codec/task_name.h"
 #include "entry/jobs/last_job_events.h"
 #include "entry/owner/job_wait_log.h"
@@ -49,9 +50,9 @@
     }
   }
 
-  /// @brief Logs the jobs that stand still and what keeps them, also while nothing may be placed.
-  /// To be called at short intervals.
-  void LogWaits() {
+  /// @brief Looks for jobs that stand still, logs what keeps them, also while nothing may be
+  /// placed, and bounds their waits. To be called at short intervals, before a plan.
+  void CheckWaits() {
     const workload::SteadyTime now = core_.port.Now();
     if (now - waits_checked_at_ < kWaitCheckInterval) {
       return;
@@ -59,7 +60,9 @@
     waits_checked_at_ = now;
     const workload::PlanRequest request = RequestOf();
     const std::vector<workload::StepId> waiting = workload::WaitingSteps(request, SilentWorkers());
-    step_waits_.Check(request, waiting);
+    wait_times_.Note(now, waiting);
+    overdue_steps_ = wait_times_.LongerThan(kMaxWaitForBetterRoom);
+    step_waits_.Check(request, wait_times_);
     job_waits_.Check(request, waiting, MayPlace());
   }
 
@@ -74,6 +77,10 @@
   static constexpr workload::Milliseconds kMaxPlanPause{150};
   static constexpr workload::Milliseconds kAdviceTimeout{2'000};
   static constexpr workload::Milliseconds kWaitCheckInterval{500};
+  // Longest wait of a job for better room than there is, whatever its callers estimate. Nothing at
+  // work for 3 s beside free room counts as lost work; the rest covers two intervals of the checks,
+  // the record of the start and the order.
+  static constexpr workload::Milliseconds kMaxWaitForBetterRoom{1'500};
 
   // Leaves time for lease renewals and ends where plans take long, as with a large fleet or a slow
   // processor.
@@ -108,9 +115,9 @@
   [[nodiscard]] bool MayPlace() const { return !core_.is_resigning && core_.HasCurrentView(); }
 
   workload::PlanRequest RequestOf() const {
-    return {core_.jobs,     core_.workers,    core_.operators.evacuated(), core_.advice,
-            claims_,        core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
-            UrgentReserve()};
+    return {core_.jobs,      core_.workers,    core_.operators.evacuated(), core_.advice,
+            claims_,         core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
+            UrgentReserve(), overdue_steps_};
   }
 
   workload::AcceleratorsByService UrgentReserve() const {
@@ -191,6 +198,8 @@
                                   it.run.checkpoint};
       records.push_back(workload::TaskSet{task, std::move(record)});
       core_.workers[it.worker].Add(it.run);
+      // Its wait goes on if no run of it begins until the next check.
+      std::erase(overdue_steps_, task.step);
     }
     core_.Append(records, [this, starts = std::move(starts)] {
       for (const workload::PlannedStart& it : starts) {
@@ -270,6 +279,9 @@
   std::map<std::string, workload::UrgentDemand, std::less<>> urgent_demand_;
   // Steps within their team's guarantee that the last plan left waiting.
   std::set<workload::StepId> waiting_;
+  workload::WaitTimes wait_times_;
+  // Steps that have waited for long at the last check.
+  std::vector<workload::StepId> overdue_steps_;
   StepWaitLog step_waits_;
   JobWaitLog job_waits_;
   workload::SteadyTime waits_checked_at_;
--- a/src/workload/detail/rack_wait.cc
+++ b/src/workload/detail/rack_wait.cc
@@ -25,6 +25,9 @@
 }  // namespace
 
 std::int64_t RackWaitLeftMs(const StartCandidate& step, std::int64_t unix_now_ms) {
+  if (step.takes_any_room) {
+    return 0;
+  }
   return std::max<std::int64_t>(0, step.due_at_ms + LongestWaitMs(step) - unix_now_ms);
 }
 
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <tuple>
@@ -13,6 +14,7 @@
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
+#include "clementineloom/workload/detail/service_use.h"
 #include "clementineloom/workload/detail/standing_of.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
@@ -72,10 +74,9 @@
       claims_.Release(step);
     }
     const std::size_t before = plan_.starts.size();
-    if (step.spec().is_gang) {
-      PlaceGang(step);
-    } else {
-      PlaceTasks(step);
+    PlaceWhole(step);
+    if (plan_.starts.size() == before && MayWaitNoLonger(step)) {
+      PlaceAnywhere(step);
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
     if (!is_whole && MayStopRunsFor(step)) {
@@ -89,6 +90,35 @@
     }
   }
 
+  void PlaceWhole(const StartCandidate& step) {
+    if (step.spec().is_gang) {
+      PlaceGang(step);
+    } else {
+      PlaceTasks(step);
+    }
+  }
+
+  // Whether a step has waited for as long as it may beside free room, whatever it waits for.
+  bool MayWaitNoLonger(const StartCandidate& step) {
+    const auto& overdue = request_.overdue_steps;
+    if (!std::binary_search(overdue.begin(), overdue.end(), step.step)) {
+      return false;
+    }
+    if (!service_use_) {
+      service_use_ = detail::ServiceUse::Of(request_.workers);
+    }
+    return !service_use_->IsBusy(step.job->submission->queue.service);
+  }
+
+  // Places one task, or a gang, in any room. The other tasks still wait for better room.
+  void PlaceAnywhere(StartCandidate step) {
+    step.takes_any_room = true;
+    if (!step.spec().is_gang) {
+      step.task_indexes.resize(1);
+    }
+    PlaceWhole(step);
+  }
+
   // What urgent runs hold, and what urgent steps wait for, by service.
   UrgentLoads LoadsOf(std::span<const StartCandidate> steps) const {
     UrgentLoads loads;
@@ -243,6 +273,8 @@
   const detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
+  // Counted when it is first needed.
+  std::optional<detail::ServiceUse> service_use_;
   StartPlan plan_;
 };
 
