Count waits from now where a job was accepted by a clock that was ahead

A reclaim for a guaranteed job waits as long (read in the code, not run). Cause: the planner counts these waits from the acceptance, a Unix time of the instance that was the owner then. Change: before each plan the owner takes open jobs that were accepted in the future as accepted now, in its own table only. The wait is then the usual one; a clock that is set back during it begins it anew.

--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/future_acceptance.h"
 #include "clementineloom/workload/step_waits.h"
 #include "clementineloom/workload/task_planner.h"
 #include "clementineloom/workload/urgent_demand.h"
@@ -89,6 +90,7 @@
     if (!MayPlace()) {
       return;
     }
+    BoundAcceptance();
     const workload::PlanRequest request = RequestOf();
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
@@ -107,6 +109,14 @@
 
   [[nodiscard]] bool MayPlace() const { return !core_.is_resigning && core_.HasCurrentView(); }
 
+  // Only in this owner's table: a successor bounds the times by its own clock.
+  void BoundAcceptance() {
+    for (const workload::SubmissionSet& it :
+         workload::AcceptedInTheFuture(core_.jobs, core_.port.UnixNowMs())) {
+      core_.jobs.Apply(it);
+    }
+  }
+
   workload::PlanRequest RequestOf() const {
     return {core_.jobs,     core_.workers,    core_.operators.evacuated(), core_.advice,
             claims_,        core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
