A stand-in of the advice service, and stand-in workers that check its tickets

Seen by callers: nothing. Cause: no simulated cluster had an advice service, so that no test let an answer be late, lost or refused. Stand-in workers reject starts without a valid ticket, if asked to.

--- a/tests/standin/standin_cluster.cc
+++ b/tests/standin/standin_cluster.cc
@@ -189,6 +189,7 @@
   settings.instance = InstanceName(index);
   settings.store = StandInStore::kAddress;
   settings.listen = ListenAddress(index);
+  settings.advice = StandInAdvice::kAddress;
   settings.max_lease_ms = 10'000;
   instance.port = std::make_unique<SimPort>(world, settings.instance);
   instance.metrics = std::make_unique<metrics::MetricRegistry>();
--- a/tests/standin/standin_cluster.h
+++ b/tests/standin/standin_cluster.h
@@ -12,6 +12,7 @@
 #include "metrics/metric_registry.h"
 #include "platform/platform_adapter.h"
 #include "standin/sim_port.h"
+#include "standin/standin_advice.h"
 #include "standin/standin_store.h"
 #include "standin/standin_worker.h"
 
@@ -99,6 +100,7 @@
 
   SimWorld world;
   StandInStore store{world};
+  StandInAdvice advice{world};
   std::vector<std::unique_ptr<StandInWorker>> workers;
   /// Tasks that ran on two workers at the same time.
   std::vector<std::string> tasks_on_two_workers;
--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -160,6 +160,11 @@
   if (known != running_.end() || run <= highest_ended_[task]) {
     return Json(409, {{"clockMs", ClockMs()}, {"reason", "old"}});
   }
+  const std::string ticket(body.contains("ticket") ? body.at("ticket").as_string() : "");
+  if (accepts_ticket_ && !accepts_ticket_(task, ticket, started_at_ms_)) {
+    ++refused_tickets_;
+    return Json(409, {{"clockMs", ClockMs()}, {"reason", "ticket"}});
+  }
   StandInRun started{run, std::string(body.at("spec").as_string()), world_.ElapsedMs()};
   const RunProfile profile =
       profile_of_ ? profile_of_(task, started.payload) : RunProfile{run_time_};
--- a/tests/standin/standin_worker.h
+++ b/tests/standin/standin_worker.h
@@ -22,6 +22,9 @@
  public:
   using ProfileOf = std::function<RunProfile(const std::string& task, const std::string& payload)>;
   using RunObserver = std::function<void(const RunEvent&)>;
+  /// @param life_began_at_ms start of the present life of the worker
+  using TicketCheck = std::function<bool(const std::string& task, const std::string& ticket,
+                                         std::int64_t life_began_at_ms)>;
 
   /// @param run_time time that each task runs from its beginning
   StandInWorker(SimWorld& world, std::string id, std::string address,
@@ -50,6 +53,10 @@
     accelerators_ = count;
     enforces_capacity_ = enforces;
   }
+  /// @brief Rejects later starts whose ticket does not pass; a start without one has an empty one.
+  void CheckTickets(TicketCheck accepts) { accepts_ticket_ = std::move(accepts); }
+  /// @brief Number of starts that it rejected for want of a ticket.
+  [[nodiscard]] int refused_tickets() const { return refused_tickets_; }
   /// @brief Leaves starts that arrive from now on unanswered and carries them out after a delay;
   /// zero ends it.
   void CarryOutStartsLate(workload::Milliseconds delay) { start_delay_ = delay; }
@@ -164,6 +171,8 @@
   std::list<std::shared_ptr<Waiter>> waiters_;
   std::map<std::string, int> starts_;
   int unlisted_acknowledgements_ = 0;
+  TicketCheck accepts_ticket_;
+  int refused_tickets_ = 0;
 };
 
 }  // namespace clementineloom::standin
