Advice: questions follow the times of their queue, and steps ask in turns

Seen by callers: jobs of a queue whose advice takes over 2 s for 30 workers are accepted and never start (LOST); one step whose question has no answer, or is refused, holds up every step behind it. Cause: a question about up to 30 workers was given up after 2 s, whatever times its queue names, its answer dropped and the question asked again for ever. The first step in the order of the plan asked each time, and a refused question was repeated at once: 502 calls in 3 s in a test. Ruled out: more calls at a time, because the service handles one call of a machine at a time, so that they would only queue there. Change: the queue carries the times of an answer, also in the record of a job. The next question waits for the named time and 700 ms; a later answer still counts. A question names enough workers for the step's tasks, as far as they are answered within 1 s (2 s for a gang, which always names enough for all members), those beside the data or on one rack first. The step that has waited longest since its last question asks next, urgent ones count each wait tenfold. Refusals are followed by a pause. Unreadable times are logged (advice_times_ignored), questions without answer too (advice_unanswered).

--- a/include/clementineloom/workload/advice_cache.h
+++ b/include/clementineloom/workload/advice_cache.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,18 +23,31 @@
   /// @brief Notes that workers were asked about, so that they are not asked about again.
   void NoteAsked(const StepId& step, const std::vector<std::string>& workers);
 
+  /// @brief Notes that the last question of a step was answered.
+  void NoteAnswered(const StepId& step, SteadyTime now);
+
+  /// @brief Lets workers be asked about again, after a question that got no answer in time. The
+  /// step may ask again after a pause, which grows with the number of such questions in a row.
+  void NoteUnanswered(const StepId& step, const std::vector<std::string>& workers, SteadyTime now);
+
   /// @brief Stores an answer, unless the step was removed after its question.
   void Add(const StepId& step, const std::vector<Advice>& approved);
 
-  /// @brief Lets workers be asked about again, after a call that got no answer.
-  void ForgetAsked(const StepId& step, const std::vector<std::string>& workers);
-
   /// @brief Removes all steps of a job.
   void DropJob(const std::string& job);
 
   /// @brief Whether a worker was asked about and its answer has not expired.
   [[nodiscard]] bool WasAsked(const StepId& step, const std::string& worker) const;
 
+  /// @brief Number of workers that count as asked about for a step.
+  [[nodiscard]] std::size_t AskedCount(const StepId& step) const;
+
+  /// @brief Whether the pause of a step after a question without answer is over.
+  [[nodiscard]] bool MayAsk(const StepId& step, SteadyTime now) const;
+
+  /// @brief When the last question of a step was answered or given up; nothing without one.
+  [[nodiscard]] std::optional<SteadyTime> LastQuestionAt(const StepId& step) const;
+
   /// @brief The ticket for a step on a worker, or empty if it is not approved or has expired.
   [[nodiscard]] std::string Ticket(const StepId& step, const std::string& worker,
                                    SteadyTime now) const;
@@ -46,6 +62,9 @@
   struct StepAdvice {
     std::set<std::string> asked;
     std::map<std::string, Advice> approved;
+    std::optional<SteadyTime> last_question_at;
+    // Questions in a row without an answer in time.
+    std::uint32_t unanswered = 0;
   };
 
   std::map<StepId, StepAdvice> steps_;
--- a/include/clementineloom/workload/advice_question.h
+++ b/include/clementineloom/workload/advice_question.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/step_id.h"
 
 namespace clementineloom::workload {
@@ -12,6 +13,8 @@
 struct AdviceQuestion {
   StepId step;
   std::vector<std::string> workers;
+  /// How long the service works on it, as the queue names it.
+  Milliseconds answer_time{0};
 
   friend auto operator<=>(const AdviceQuestion&, const AdviceQuestion&) = default;
 };
--- a/include/clementineloom/workload/queue.h
+++ b/include/clementineloom/workload/queue.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "clementineloom/workload/advice_times.h"
+
 namespace clementineloom::workload {
 
 /// Queues of this priority are urgent: they may stop the runs of others.
@@ -27,6 +29,8 @@
   bool is_public = false;
   /// Workers need the approval of the advice service.
   bool needs_advice = false;
+  /// How long that service takes; zero for a queue that needs none.
+  AdviceTimes advice_times{};
 
   friend auto operator<=>(const Queue&, const Queue&) = default;
 };
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -23,7 +23,7 @@
   std::vector<GuaranteeWait> waits;
   /// The urgent work of each service, from which the next plan's reserve is forecast.
   UrgentLoads urgent_loads;
-  /// Question for the most urgent step that lacks approved workers with room.
+  /// Question of the step whose turn it is among those that lack approved workers with room.
   std::optional<AdviceQuestion> question;
 
   friend auto operator<=>(const StartPlan&, const StartPlan&) = default;
--- a/src/codec/detail/submission_json.cc
+++ b/src/codec/detail/submission_json.cc
@@ -90,6 +90,8 @@
   visit("stretch_percent", stretch_percent);
   visit("target_ms", queue.target_latency_ms);
   visit("advice", queue.needs_advice);
+  visit("advice_decision_ms", queue.advice_times.decision_ms);
+  visit("advice_per_worker_ms", queue.advice_times.per_worker_ms);
 }
 
 template <class Visitor, class AnyStep>
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -16,6 +16,7 @@
 #include "clementineloom/workload/urgent_demand.h"
 #include "codec/task_name.h"
 #include "entry/jobs/last_job_events.h"
+#include "entry/owner/advice_requests.h"
 #include "entry/owner/job_wait_log.h"
 #include "entry/owner/owner_core.h"
 #include "entry/owner/run_starts.h"
@@ -32,7 +33,11 @@
   /// Precondition: the references outlive the placement.
   TaskPlacement(OwnerCore<Platform, Port>& core, RunStarts<Platform, Port>& starts,
                 RunStops<Platform, Port>& stops, const LastJobEvents& job_events)
-      : core_(core), starts_(starts), stops_(stops), job_waits_(job_events, core.options.epoch) {}
+      : core_(core),
+        starts_(starts),
+        stops_(stops),
+        advice_requests_(core),
+        job_waits_(job_events, core.options.epoch) {}
 
   /// @brief Schedules a plan after a short delay; all events until then share it.
   void SchedulePlan() {
@@ -72,7 +77,6 @@
   // fraction of the time within which urgent work has to start.
   static constexpr int kPlanPauseFactor = 4;
   static constexpr workload::Milliseconds kMaxPlanPause{150};
-  static constexpr workload::Milliseconds kAdviceTimeout{2'000};
   static constexpr workload::Milliseconds kWaitCheckInterval{500};
 
   // Leaves time for lease renewals and ends where plans take long, as with a large fleet or a slow
@@ -94,8 +98,8 @@
     claims_ = std::move(plan.claims);
     NoteUrgentLoads(request.now, plan.urgent_loads);
     LogNewWaits(plan.waits);
-    if (plan.question && !is_advice_requested_) {
-      RequestAdvice(*plan.question);
+    if (plan.question && advice_requests_.MayAsk()) {
+      advice_requests_.Ask(*plan.question);
     }
     for (const workload::Preemption& it : plan.preemptions) {
       Preempt(it);
@@ -242,28 +246,10 @@
     starts_.OrderStart(start);
   }
 
-  void RequestAdvice(const workload::AdviceQuestion& question) {
-    if (core_.options.advice_address.empty()) {
-      return;
-    }
-    is_advice_requested_ = true;
-    core_.advice.NoteAsked(question.step, question.workers);
-    core_.port.Call(core_.options.advice_address, Platform::AdviceRequest(question), kAdviceTimeout,
-                    core_.Guard([this, question](const net::ClientResult& result) {
-                      is_advice_requested_ = false;
-                      const auto approved = Platform::ParseAdvice(result, core_.port.Now());
-                      if (approved) {
-                        core_.advice.Add(question.step, *approved);
-                      } else {
-                        core_.advice.ForgetAsked(question.step, question.workers);
-                      }
-                      SchedulePlan();
-                    }));
-  }
-
   OwnerCore<Platform, Port>& core_;
   RunStarts<Platform, Port>& starts_;
   RunStops<Platform, Port>& stops_;
+  AdviceRequests<Platform, Port> advice_requests_;
   // Capacity that the last plan reserved for waiting urgent tasks.
   std::vector<workload::RoomClaim> claims_;
   // By service; the room that less urgent work leaves free follows it.
@@ -277,7 +263,6 @@
   // End and duration of the last plan.
   workload::SteadyTime last_plan_ended_at_;
   std::chrono::nanoseconds last_plan_duration_{0};
-  bool is_advice_requested_ = false;
 };
 
 }  // namespace clementineloom::entry
--- a/src/workload/advice_cache.cc
+++ b/src/workload/advice_cache.cc
@@ -1,6 +1,16 @@
 #include "clementineloom/workload/advice_cache.h"
 
+#include <algorithm>
+
 namespace clementineloom::workload {
+namespace {
+
+// Pause of a step after one question without answer; each further one doubles it. Short enough for
+// a step whose first answer is lost to begin within 3 s, the last well below that time.
+constexpr Milliseconds kFirstPause{250};
+constexpr std::uint32_t kMaxDoublings = 3;
+
+}  // namespace
 
 void AdviceCache::NoteAsked(const StepId& step, const std::vector<std::string>& workers) {
   steps_[step].asked.insert(workers.begin(), workers.end());
@@ -12,11 +22,21 @@
     return;
   }
   for (const Advice& it : approved) {
+    entry->second.asked.insert(it.worker);
     entry->second.approved.insert_or_assign(it.worker, it);
   }
 }
 
-void AdviceCache::ForgetAsked(const StepId& step, const std::vector<std::string>& workers) {
+void AdviceCache::NoteAnswered(const StepId& step, SteadyTime now) {
+  const auto entry = steps_.find(step);
+  if (entry != steps_.end()) {
+    entry->second.last_question_at = now;
+    entry->second.unanswered = 0;
+  }
+}
+
+void AdviceCache::NoteUnanswered(const StepId& step, const std::vector<std::string>& workers,
+                                 SteadyTime now) {
   const auto entry = steps_.find(step);
   if (entry == steps_.end()) {
     return;
@@ -24,6 +44,8 @@
   for (const std::string& it : workers) {
     entry->second.asked.erase(it);
   }
+  entry->second.last_question_at = now;
+  ++entry->second.unanswered;
 }
 
 void AdviceCache::DropJob(const std::string& job) {
@@ -35,6 +57,25 @@
   return entry != steps_.end() && entry->second.asked.contains(worker);
 }
 
+std::size_t AdviceCache::AskedCount(const StepId& step) const {
+  const auto entry = steps_.find(step);
+  return entry == steps_.end() ? 0 : entry->second.asked.size();
+}
+
+bool AdviceCache::MayAsk(const StepId& step, SteadyTime now) const {
+  const auto entry = steps_.find(step);
+  if (entry == steps_.end() || entry->second.unanswered == 0) {
+    return true;
+  }
+  const std::uint32_t doublings = std::min(entry->second.unanswered - 1, kMaxDoublings);
+  return now >= *entry->second.last_question_at + kFirstPause * (1U << doublings);
+}
+
+std::optional<SteadyTime> AdviceCache::LastQuestionAt(const StepId& step) const {
+  const auto entry = steps_.find(step);
+  return entry == steps_.end() ? std::nullopt : entry->second.last_question_at;
+}
+
 std::string AdviceCache::Ticket(const StepId& step, const std::string& worker,
                                 SteadyTime now) const {
   const auto entry = steps_.find(step);
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/detail/advice_choice.h"
+#include "clementineloom/workload/detail/advice_turn.h"
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
@@ -38,9 +41,6 @@
 // them end by themselves soon. The rest of the time in which it has to begin covers a stop and a
 // start.
 constexpr std::int64_t kReclaimAfterMs = 1'000;
-// Most workers in a question to the advice service: enough to find room; each costs the service
-// time.
-constexpr std::size_t kWorkersInQuestion = 30;
 
 // One planning pass: the room that is left, and what was decided so far.
 class PlanningPass {
@@ -86,7 +86,7 @@
     if (!is_whole && MayStopRunsFor(step)) {
       claims_.MakeRoom(step, plan_.starts.size() - before, !MayStopOnSeveralRacks(step));
     }
-    if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
+    if (!is_whole && step.job->submission->queue.needs_advice) {
       AddQuestion(step);
     }
     if (!is_whole && step.is_guaranteed) {
@@ -271,17 +271,19 @@
     return last + 1;
   }
 
+  // Keeps the question of the step whose turn comes first.
   void AddQuestion(const StartCandidate& step) {
-    AdviceQuestion question{step.step, {}};
-    for (const WorkerRoom* it : rooms_.On({})) {
-      const std::string& id = it->worker->info.id;
-      if (question.workers.size() < kWorkersInQuestion && IsEligible(*it->worker, step) &&
-          HasRoom(*it, step) && !request_.advice.WasAsked(step.step, id)) {
-        question.workers.push_back(id);
-      }
+    const auto turn = detail::AdviceTurn::Of(step, request_);
+    if (!request_.advice.MayAsk(step.step, request_.now) ||
+        (question_turn_ && !turn.IsBefore(*question_turn_))) {
+      return;
     }
-    if (!question.workers.empty()) {
-      plan_.question = std::move(question);
+    std::vector<std::string> workers = detail::ChooseWorkersToAskAbout(step, request_, rooms_);
+    if (!workers.empty()) {
+      const AdviceTimes& times = step.job->submission->queue.advice_times;
+      const Milliseconds answer_time = times.AnswerTime(workers.size());
+      plan_.question = AdviceQuestion{step.step, std::move(workers), answer_time};
+      question_turn_ = turn;
     }
   }
 
@@ -290,6 +292,8 @@
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
   StartPlan plan_;
+  // Turn of the step that asks.
+  std::optional<detail::AdviceTurn> question_turn_;
 };
 
 }  // namespace
--- a/tests/codec/workload_record_codec_test.cc
+++ b/tests/codec/workload_record_codec_test.cc
@@ -33,7 +33,7 @@
 TEST_F(WorkloadRecordCodecTest, Decode_OfEveryRecordType_ReturnsEqualRecord) {
   JobSubmission job;
   job.id = "00000000000000a1";
-  job.queue = {"urgent", "", "", "inspect", 2, 3, 1.5, 250, false, true};
+  job.queue = {"urgent", "", "", "inspect", 2, 3, 1.5, 250, false, true, {700, 50}};
   job.team = "t";
   job.accepted_at_ms = 12;
   job.payload = "x";
--- a/tests/workload/advice_cache_test.cc
+++ b/tests/workload/advice_cache_test.cc
@@ -27,5 +27,14 @@
   EXPECT_EQ(cache_.Ticket(step_, "w", SteadyTime()), "ticket");
 }
 
+// Guards against a question about workers whose late answer has arrived.
+TEST_F(AdviceCacheTest, Add_AfterNoteUnanswered_CountsTheWorkersAsAsked) {
+  cache_.NoteAsked(step_, {"w"});
+  cache_.NoteUnanswered(step_, {"w"}, SteadyTime());
+  EXPECT_FALSE(cache_.WasAsked(step_, "w"));
+  cache_.Add(step_, {{"w", "ticket", SteadyTime::max()}});
+  EXPECT_TRUE(cache_.WasAsked(step_, "w"));
+}
+
 }  // namespace
 }  // namespace clementineloom::workload
