Advice about a worker ends with its life

Seen by callers: a step that no worker may run stays so where a worker restarts under its id as another kind; a start is refused for want of a ticket after a restart of its worker. Cause: approvals and refusals were kept by the worker's id. A ticket is for one life of the worker. Change: a new incarnation drops what is known about the worker for all steps. Answers to questions that were open meanwhile already leave its ticket out.

--- a/include/clementineloom/workload/advice_cache.h
+++ b/include/clementineloom/workload/advice_cache.h
@@ -33,6 +33,10 @@
   /// @brief Stores an answer, unless the step was removed after its question.
   void Add(const StepId& step, const std::vector<Advice>& approved);
 
+  /// @brief Forgets all about a worker that has restarted: it holds to no ticket from before, and
+  /// steps that were not approved on it may be now, since it may be of another kind.
+  void DropWorker(const std::string& worker);
+
   /// @brief Removes all steps of a job.
   void DropJob(const std::string& job);
 
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -154,6 +154,7 @@
     ++link.restarts;
     link.incarnation_began_at = core_.port.Now();
     core_.workers[id].is_attached = false;
+    core_.advice.DropWorker(id);
     starts_.OnRestart(id);
   }
 
--- a/src/workload/advice_cache.cc
+++ b/src/workload/advice_cache.cc
@@ -48,6 +48,13 @@
   ++entry->second.unanswered;
 }
 
+void AdviceCache::DropWorker(const std::string& worker) {
+  for (auto& [step, advice] : steps_) {
+    advice.asked.erase(worker);
+    advice.approved.erase(worker);
+  }
+}
+
 void AdviceCache::DropJob(const std::string& job) {
   std::erase_if(steps_, [&job](const auto& it) { return it.first.job == job; });
 }
--- a/tests/workload/advice_cache_test.cc
+++ b/tests/workload/advice_cache_test.cc
@@ -27,6 +27,18 @@
   EXPECT_EQ(cache_.Ticket(step_, "w", SteadyTime()), "ticket");
 }
 
+// Guards against tickets of an earlier life of a worker, and against a worker that counts as not
+// approved for good although another kind may have come back.
+TEST_F(AdviceCacheTest, DropWorker_AfterItsAnswer_ForgetsThatWorkerOnly) {
+  cache_.NoteAsked(step_, {"v", "w", "x"});
+  cache_.Add(step_, {{"v", "v-ticket", SteadyTime::max()}, {"w", "w-ticket", SteadyTime::max()}});
+  cache_.DropWorker("w");
+  EXPECT_EQ(cache_.Ticket(step_, "w", SteadyTime()), "");
+  EXPECT_FALSE(cache_.WasAsked(step_, "w"));
+  EXPECT_EQ(cache_.Ticket(step_, "v", SteadyTime()), "v-ticket");
+  EXPECT_TRUE(cache_.WasAsked(step_, "x"));
+}
+
 // Guards against a question about workers whose late answer has arrived.
 TEST_F(AdviceCacheTest, Add_AfterNoteUnanswered_CountsTheWorkersAsAsked) {
   cache_.NoteAsked(step_, {"w"});
