Orders to start carry the ticket that is valid when they are sent

Seen by callers: starts refused for want of a ticket, and work that begins later, where the store takes long for records. Cause: the ticket was taken when the start was planned. It may expire while the record is stored or the order is held back. Ruled out: giving up an order that may have been carried out. It is repeated even with an expired ticket, because the worker accepts it for a run that it has. Change: the ticket is looked up for each order. Without a valid one, a start that was never sent is given up, and its task is planned again.

--- a/src/entry/owner/run_starts.h
+++ b/src/entry/owner/run_starts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,11 @@
       CancelStart(start, "the worker takes no new runs");
       return;
     }
+    const auto ticket = TicketFor(start);
+    if (!ticket) {
+      CancelStart(start, "the ticket has expired");
+      return;
+    }
     WorkerLink& link = core_.links[start.worker];
     const auto lease_until = link.lease.Grant(core_.options.lease, core_.port.Now());
     if (!lease_until) {
@@ -57,7 +63,7 @@
     core_.FindRun(start.worker, start.run.run)->start_copies.OnSent(core_.port.Now());
     StartOrder order{start.run.run,        job == nullptr ? "" : job->submission->payload,
                      *lease_until,         core_.options.epoch,
-                     start.run.checkpoint, start.ticket};
+                     start.run.checkpoint, *ticket};
     core_.Order(start.worker, Platform::StartRequest(order, start.worker),
                 [this, start](const OrderAnswer& answer) { OnStartAnswer(start, answer); });
     core_.poll_worker(start.worker);
@@ -131,6 +137,24 @@
     return is_spread && worker.used.FitsIn(worker.info.capacity);
   }
 
+  // The ticket that an order carries; nothing if the queue needs one and none is valid. An order
+  // that may have been carried out is repeated even so: the worker accepts it for a run that it
+  // has.
+  [[nodiscard]] std::optional<std::string> TicketFor(const workload::PlannedStart& start) const {
+    const workload::StepId& step = start.run.run.task.step;
+    const workload::JobEntry* job = core_.jobs.Find(step.job);
+    if (job == nullptr || !job->submission->queue.needs_advice) {
+      return start.ticket;
+    }
+    std::string ticket = core_.advice.Ticket(step, start.worker, core_.port.Now());
+    if (!ticket.empty()) {
+      return ticket;
+    }
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    const bool may_be_there = run != nullptr && run->start_copies.MayArrive();
+    return may_be_there ? std::optional(start.ticket) : std::nullopt;
+  }
+
   // Whether the worker of a start has restarted with a capacity that its runs exceed.
   [[nodiscard]] bool IsTooLargeAfterRestart(const workload::PlannedStart& start) const {
     const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
--- a/tests/entry/advice_ticket_test.cc
+++ b/tests/entry/advice_ticket_test.cc
@@ -47,6 +47,20 @@
   EXPECT_EQ(cluster_.RunningCount(), 1U);
 }
 
+// Guards against orders with tickets that have expired while the store took the record of the
+// start.
+TEST_F(AdviceTicketTest, Start_WhoseTicketExpiresBeforeItIsOrdered_IsNotOrdered) {
+  cluster_.advice.SetValidity(Milliseconds(600));
+  cluster_.store.DelayAppendsOf("owner", Milliseconds(900));
+  SubmitAdvised(kFirst);
+  cluster_.RunFor(Milliseconds(4'000));
+  EXPECT_EQ(RefusedTickets(), 0);
+  cluster_.store.DelayAppendsOf("owner", Milliseconds(0));
+  cluster_.RunFor(kMaxStandstill);
+  EXPECT_EQ(RunningOf(kFirst, 1), 1U);
+  EXPECT_EQ(RefusedTickets(), 0);
+}
+
 // Guards against a step that waits for the answer to a question of an owner that is gone.
 TEST_F(AdviceTicketTest, Step_WhoseOwnerIsReplacedWithAnOpenQuestion_BeginsUnderItsSuccessor) {
   PublishQueue(Milliseconds(1'000), Milliseconds(10));
