Urgent steps ask for advice also where room can be made

Seen by callers: in a full fleet, an urgent job of a queue that needs advice waits until room becomes free by itself. Cause: questions named only workers with free room, and runs are stopped only on approved workers. Change: a step for which runs may be stopped also asks about workers on which they make room for it, after those with room. Measured: Question_OfAnUrgentStepInAFullFleet_NamesWorkersWhoseRunsMayBeStopped failed before (no question) and passes.

--- a/include/clementineloom/workload/detail/advice_choice.h
+++ b/include/clementineloom/workload/detail/advice_choice.h
@@ -17,8 +17,10 @@
 /// each question, as far as the answer arrives in time. A gang asks about enough for all members at
 /// once, so that the first tickets are still valid when the last ones arrive.
 /// Precondition: the queue of the step needs advice. Thread safety: a pure function.
+/// @param may_stop_runs whether workers count on which room can be made for the step
 [[nodiscard]] std::vector<std::string> ChooseWorkersToAskAbout(const StartCandidate& step,
                                                                const PlanRequest& request,
-                                                               const RoomTable& rooms);
+                                                               const RoomTable& rooms,
+                                                               bool may_stop_runs);
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/advice_choice.cc
+++ b/src/workload/detail/advice_choice.cc
@@ -33,6 +33,9 @@
 // A worker that a question may name. Lower is better.
 struct AskableWorker {
   const WorkerRoom* room = nullptr;
+  // What is free there, or what can be made free.
+  Resources room_left{};
+  bool needs_stops = false;
   bool is_kept_for_urgent = false;
   bool is_far_from_data = false;
   bool is_on_too_small_rack = false;
@@ -40,16 +43,19 @@
   RoomRank rank{};
 
   [[nodiscard]] auto Cost() const {
-    return std::tuple(is_kept_for_urgent, is_far_from_data, is_on_too_small_rack, rack, rank);
+    return std::tuple(needs_stops, is_kept_for_urgent, is_far_from_data, is_on_too_small_rack, rack,
+                      rank);
   }
 };
 
 class AdviceChoice {
  public:
-  AdviceChoice(const StartCandidate& step, const PlanRequest& request, const RoomTable& rooms)
+  AdviceChoice(const StartCandidate& step, const PlanRequest& request, const RoomTable& rooms,
+               bool may_stop_runs)
       : step_(step),
         request_(request),
         rooms_(rooms),
+        may_stop_runs_(may_stop_runs),
         large_racks_(WantsOneRack() ? LargeRacks() : std::set<std::string_view>()),
         askable_(Askable()) {}
 
@@ -71,7 +77,7 @@
     std::vector<AskableWorker> askable;
     for (const WorkerRoom* it : rooms_.On({})) {
       const std::string& id = it->worker->info.id;
-      if (HasRoom(*it, step_) && IsEligible(*it->worker, step_) &&
+      if (FitCount(*it, RoomLeft(*it), step_) > 0 && IsEligible(*it->worker, step_) &&
           !request_.advice.WasAsked(step_.step, id)) {
         askable.push_back(Rated(*it));
       }
@@ -81,10 +87,15 @@
     return askable;
   }
 
+  // Room is made for a step only on workers that are approved.
+  [[nodiscard]] Resources RoomLeft(const WorkerRoom& room) const {
+    return may_stop_runs_ && !HasRoom(room, step_) ? room.FreeableFor(step_) : room.free;
+  }
+
   [[nodiscard]] AskableWorker Rated(const WorkerRoom& room) const {
     const StepSpec& spec = step_.spec();
     const std::string& rack = room.worker->info.rack;
-    AskableWorker worker{&room};
+    AskableWorker worker{&room, RoomLeft(room), !HasRoom(room, step_)};
     worker.is_kept_for_urgent = room.is_reserved && !MayUseReserve(step_);
     worker.is_far_from_data = !spec.data_rack.empty() && rack != spec.data_rack;
     if (WantsOneRack()) {
@@ -129,7 +140,7 @@
     std::int64_t tasks = times_over * static_cast<std::int64_t>(step_.task_indexes.size());
     std::size_t workers = 0;
     for (auto it = askable_.begin(); it != askable_.end() && tasks > 0; ++it, ++workers) {
-      tasks -= FitCount(*it->room, it->room->free, step_);
+      tasks -= FitCount(*it->room, it->room_left, step_);
     }
     return workers;
   }
@@ -137,6 +148,7 @@
   const StartCandidate& step_;
   const PlanRequest& request_;
   const RoomTable& rooms_;
+  const bool may_stop_runs_;
   const std::set<std::string_view> large_racks_;
   const std::vector<AskableWorker> askable_;
 };
@@ -144,9 +156,9 @@
 }  // namespace
 
 std::vector<std::string> ChooseWorkersToAskAbout(const StartCandidate& step,
-                                                 const PlanRequest& request,
-                                                 const RoomTable& rooms) {
-  return AdviceChoice(step, request, rooms).Workers();
+                                                 const PlanRequest& request, const RoomTable& rooms,
+                                                 bool may_stop_runs) {
+  return AdviceChoice(step, request, rooms, may_stop_runs).Workers();
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -278,7 +278,8 @@
         (question_turn_ && !turn.IsBefore(*question_turn_))) {
       return;
     }
-    std::vector<std::string> workers = detail::ChooseWorkersToAskAbout(step, request_, rooms_);
+    std::vector<std::string> workers =
+        detail::ChooseWorkersToAskAbout(step, request_, rooms_, MayStopRunsFor(step));
     if (!workers.empty()) {
       const AdviceTimes& times = step.job->submission->queue.advice_times;
       const Milliseconds answer_time = times.AnswerTime(workers.size());
--- a/tests/workload/advice_question_test.cc
+++ b/tests/workload/advice_question_test.cc
@@ -174,5 +174,30 @@
   EXPECT_EQ(Question().step.job, "bulk");
 }
 
+// Guards against an urgent step for which no room is ever made, because it asks only about workers
+// that have room.
+TEST_F(AdviceQuestionTest, Question_OfAnUrgentStepInAFullFleet_NamesWorkersWhoseRunsMayBeStopped) {
+  AddFleet(1, 4);
+  Submit("bulk", Step(4, 8), 2);
+  ApplyStarts(Plan(kNowMs));
+  SubmitAdvised("urgent", Step(1, 8), kNowMs - 100, kPreemptingPriority);
+  const AdviceQuestion question = Question();
+  ASSERT_EQ(question.workers.size(), 4U);
+  advice_.NoteAsked(question.step, question.workers);
+  advice_.Add(question.step, {{question.workers.front(), "ticket", SteadyTime::max()}});
+  const StartPlan plan = Plan(kNowMs);
+  ASSERT_EQ(plan.preemptions.size(), 1U);
+  EXPECT_EQ(plan.preemptions[0].worker, question.workers.front());
+}
+
+// Guards against questions of other steps about workers that have no room for them.
+TEST_F(AdviceQuestionTest, Question_OfAStepInAFullFleet_IsNotAsked) {
+  AddFleet(1, 4);
+  Submit("bulk", Step(4, 8), 1);
+  ApplyStarts(Plan(kNowMs));
+  SubmitAdvised("later", Step(1, 8));
+  EXPECT_FALSE(Plan(kNowMs).question.has_value());
+}
+
 }  // namespace
 }  // namespace clementineloom::workload
