No room is claimed for a gang that cannot start for want of advice

Callers would see: other work stands still beside idle workers, because rooms are claimed for an urgent gang that the advice service approves on fewer workers than it has members.

Cause: whether the workers can hold a gang was asked of all eligible workers, the claims themselves need approved ones. A gang got claims for some of its members, and each plan renewed them.

Change: the question counts approved workers only.

Measured: UrgentGangTest.Gang_ApprovedOnTooFewWorkers_ClaimsNoRoom failed without the change and passes; 175 tests of the planner pass. A guaranteed gang whose reclaim budget ends midway may still claim for some members; not run.

--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -10,12 +10,14 @@
 namespace clementineloom::workload::detail {
 namespace {
 
-// Whether workers have room for all tasks of a step once all that may be stopped for it has ended.
-bool CanHoldAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms) {
+// Whether workers that the step may run on have room for all its tasks once all that may be stopped
+// for it has ended.
+bool CanHoldAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
+                const PlanRequest& request) {
   auto missing = static_cast<std::int64_t>(step.task_indexes.size());
   for (auto it = rooms.begin(); it != rooms.end() && missing > 0; ++it) {
     const std::int64_t count = FitCount(**it, (*it)->FreeableFor(step), step);
-    missing -= count > 0 && IsEligible(*(*it)->worker, step) ? count : 0;
+    missing -= count > 0 && IsAllowed(**it, step, request) ? count : 0;
   }
   return missing <= 0;
 }
@@ -67,7 +69,7 @@
       (MakeRoomOnOneRack(step) || keeps_to_rack)) {
     return;
   }
-  if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}))) {
+  if (step.spec().is_gang && !CanHoldAll(step, rooms_.On({}), request_)) {
     return;
   }
   MakeRoomAnywhere(step, placed);
@@ -160,7 +162,7 @@
 std::optional<UrgentClaims::RackClaim> UrgentClaims::TryRack(const StartCandidate& step,
                                                              const std::vector<WorkerRoom*>& rack,
                                                              const StopCost* limit) const {
-  if (!CanHoldAll(step, rack)) {
+  if (!CanHoldAll(step, rack, request_)) {
     return std::nullopt;
   }
   const std::size_t needed = step.task_indexes.size();
--- a/tests/workload/urgent_gang_test.cc
+++ b/tests/workload/urgent_gang_test.cc
@@ -73,5 +73,30 @@
   EXPECT_TRUE(Plan(kLateMs).preemptions.empty());
 }
 
+// Guards against other work that stands still beside room claimed for a gang that cannot start,
+// because the advice service approves fewer workers than it has members.
+TEST_F(UrgentGangTest, Gang_ApprovedOnTooFewWorkers_ClaimsNoRoom) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2", "b");
+  StepSpec gang = Step(2, 8);
+  gang.is_gang = true;
+  JobSubmission submission;
+  submission.id = "gang";
+  submission.queue.service = "inspect";
+  submission.queue.needs_advice = true;
+  submission.accepted_at_ms = kAcceptedAtMs;
+  submission.steps = {gang};
+  jobs_.Apply(SubmissionSet{"gang", submission});
+  advice_.NoteAsked({"gang", 0, 0}, {"w1", "w2"});
+  advice_.Add({"gang", 0, 0}, {{"w1", "ticket", now_ + Milliseconds(60'000)}});
+  StepSpec bulk = Step(1, 8);
+  bulk.required_label = "a";
+  Submit("bulk", bulk, 2, kAcceptedAtMs);
+  const StartPlan plan = Plan(kLateMs);
+  EXPECT_TRUE(plan.claims.empty());
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.starts.front().worker, "w1");
+}
+
 }  // namespace
 }  // namespace clementineloom::workload
