Waits for better room: reserved room only beside idle accelerators, one start a job

Cause: the review of the bound found that reserved room was given up while 92% of the accelerators were in use, because processors were idle; that each parallel step of an overdue job started a task far away at once; that no test held the bound of 60%; and that a request for the log held a span of a vector that had been replaced (nothing read it).

Change: reserved room needs idle accelerators, racks need any idle resource. After a start the other steps of its job wait until the next check. The bound is half of the time for which a job may stand still.

The new test of the reserve was not run on the code before.

--- a/include/clementineloom/workload/detail/service_use.h
+++ b/include/clementineloom/workload/detail/service_use.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -18,9 +19,12 @@
   [[nodiscard]] static ServiceUse Of(const WorkerPool& workers);
 
   /// @brief Whether so much of every resource of a service is in use that its tasks may wait for
-  /// better room than there is.
+  /// better room than there is. A service without workers is not busy.
   [[nodiscard]] bool IsBusy(std::string_view service) const;
 
+  /// @brief The same for its accelerators alone, of which some are kept for urgent work.
+  [[nodiscard]] bool HasBusyAccelerators(std::string_view service) const;
+
   friend auto operator<=>(const ServiceUse&, const ServiceUse&) = default;
 
  private:
@@ -28,6 +32,8 @@
     Resources capacity;
     Resources used;
 
+    [[nodiscard]] bool IsBusyIn(std::int64_t Resources::*resource) const;
+
     friend auto operator<=>(const Use&, const Use&) = default;
   };
 
--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -22,9 +22,10 @@
   /// Guaranteed, and it has waited long enough to go before all other steps, and to have urgent
   /// runs beyond guarantees stopped for it.
   bool may_reclaim = false;
-  /// It has waited for so long beside free room that it takes any, also room that is kept for
-  /// urgent work.
-  bool takes_any_room = false;
+  /// It has waited for so long beside free room that it no longer waits for a rack.
+  bool takes_any_rack = false;
+  /// It has waited for so long beside idle accelerators that it takes those kept for urgent work.
+  bool takes_reserved_room = false;
   /// What its job can still reach.
   ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
--- a/src/entry/owner/step_wait_log.h
+++ b/src/entry/owner/step_wait_log.h
@@ -25,10 +25,12 @@
     std::set<workload::StepId> logged;
     std::vector<workload::StepId> due;
     for (const workload::StepId& it : times.LongerThan(kLongWait)) {
-      if (logged_.contains(it)) {
-        logged.insert(it);
-      } else if (budget_.Allow(request.now)) {
-        logged.insert(it);
+      const bool is_new = !logged_.contains(it);
+      if (is_new && !budget_.Allow(request.now)) {
+        continue;
+      }
+      logged.insert(it);
+      if (is_new) {
         due.push_back(it);
       }
     }
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -21,6 +21,7 @@
 #include "entry/owner/advice_requests.h"
 #include "entry/owner/job_wait_log.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
 #include "entry/owner/run_starts.h"
 #include "entry/owner/run_stops.h"
 #include "entry/owner/step_wait_log.h"
@@ -56,18 +57,19 @@
     }
   }
 
-  /// @brief Looks for jobs that stand still, logs what keeps them, also while nothing may be
-  /// placed, and bounds their waits. To be called at short intervals, before a plan.
+  /// @brief Notes which steps have waited for too long, and logs what keeps jobs that stand still,
+  /// also while this owner may place nothing. To be called at short intervals, before a plan.
   void CheckWaits() {
     const workload::SteadyTime now = core_.port.Now();
     if (now - waits_checked_at_ < kWaitCheckInterval) {
       return;
     }
     waits_checked_at_ = now;
-    const workload::PlanRequest request = RequestOf();
-    const std::vector<workload::StepId> waiting = workload::WaitingSteps(request, SilentWorkers());
+    const std::vector<workload::StepId> waiting =
+        workload::WaitingSteps(RequestOf(), SilentWorkers());
     wait_times_.Note(now, waiting);
     overdue_steps_ = wait_times_.LongerThan(kMaxWaitForBetterRoom);
+    const workload::PlanRequest request = RequestOf();
     step_waits_.Check(request, wait_times_);
     job_waits_.Check(request, waiting, MayPlace());
   }
@@ -82,10 +84,9 @@
   static constexpr int kPlanPauseFactor = 4;
   static constexpr workload::Milliseconds kMaxPlanPause{150};
   static constexpr workload::Milliseconds kWaitCheckInterval{500};
-  // Longest wait of a job for better room than there is, whatever its callers estimate. Nothing at
-  // work for 3 s beside free room counts as lost work; the rest covers two intervals of the checks,
-  // the record of the start and the order.
-  static constexpr workload::Milliseconds kMaxWaitForBetterRoom{1'500};
+  // Longest wait of a job with nothing at work for better room than there is, unless its service is
+  // busy. The other half covers two intervals of the checks, the record of the start and the order.
+  static constexpr workload::Milliseconds kMaxWaitForBetterRoom = OwnerTiming::kMaxStandstill / 2;
 
   // Leaves time for lease renewals and ends where plans take long, as with a large fleet or a slow
   // processor.
@@ -212,8 +213,9 @@
                                   it.run.checkpoint};
       records.push_back(workload::TaskSet{task, std::move(record)});
       core_.workers[it.worker].Add(it.run);
-      // Its wait goes on if no run of it begins until the next check.
-      std::erase(overdue_steps_, task.step);
+      // One start for each job, until the next check shows whether it has begun.
+      std::erase_if(overdue_steps_,
+                    [&](const workload::StepId& step) { return step.job == task.step.job; });
     }
     core_.Append(records, [this, starts = std::move(starts)] {
       for (const workload::PlannedStart& it : starts) {
--- a/src/workload/detail/rack_wait.cc
+++ b/src/workload/detail/rack_wait.cc
@@ -7,8 +7,9 @@
 namespace clementineloom::workload::detail {
 namespace {
 
-// Shortest wait for room near the data or on one rack. A step with a longer estimate waits for that
-// long, because its tasks take a multiple of the estimate elsewhere.
+// Shortest wait for room near the data or on one rack, and the only one of service tasks. A step
+// with a longer estimate waits for that long, because its tasks take a multiple of the estimate
+// elsewhere.
 constexpr std::int64_t kMinWaitForRackMs = 500;
 // Longest wait of an urgent step for a rack, a fraction of the time in which it has to begin.
 constexpr std::int64_t kMaxUrgentWaitMs = 700;
@@ -25,7 +26,7 @@
 }  // namespace
 
 std::int64_t RackWaitLeftMs(const StartCandidate& step, std::int64_t unix_now_ms) {
-  if (step.takes_any_room) {
+  if (step.takes_any_rack) {
     return 0;
   }
   return std::max<std::int64_t>(0, step.due_at_ms + LongestWaitMs(step) - unix_now_ms);
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -21,7 +21,7 @@
 
 bool MayUseReserve(const StartCandidate& step) {
   return step.priority() == kPreemptingPriority || step.spec().runs_until_cancelled ||
-         step.takes_any_room;
+         step.takes_reserved_room;
 }
 
 bool HasRoom(const WorkerRoom& room, const StartCandidate& step) {
--- a/src/workload/detail/service_use.cc
+++ b/src/workload/detail/service_use.cc
@@ -9,10 +9,6 @@
 // hold room before they begin and after they have ended.
 constexpr std::int64_t kBusyPercent = 60;
 
-bool IsBusyOf(std::int64_t used, std::int64_t capacity) {
-  return used * 100 >= capacity * kBusyPercent;
-}
-
 }  // namespace
 
 ServiceUse ServiceUse::Of(const WorkerPool& workers) {
@@ -25,15 +21,20 @@
   return all;
 }
 
+bool ServiceUse::Use::IsBusyIn(std::int64_t Resources::*resource) const {
+  return used.*resource * 100 >= capacity.*resource * kBusyPercent;
+}
+
 bool ServiceUse::IsBusy(std::string_view service) const {
   const auto it = uses_.find(service);
-  if (it == uses_.end()) {
-    return false;
-  }
-  const auto& [capacity, used] = it->second;
-  return IsBusyOf(used.cpu_millicores, capacity.cpu_millicores) &&
-         IsBusyOf(used.memory_mb, capacity.memory_mb) &&
-         IsBusyOf(used.accelerators, capacity.accelerators);
+  return it != uses_.end() && it->second.IsBusyIn(&Resources::cpu_millicores) &&
+         it->second.IsBusyIn(&Resources::memory_mb) &&
+         it->second.IsBusyIn(&Resources::accelerators);
+}
+
+bool ServiceUse::HasBusyAccelerators(std::string_view service) const {
+  const auto it = uses_.find(service);
+  return it != uses_.end() && it->second.IsBusyIn(&Resources::accelerators);
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -109,9 +109,12 @@
     return !service_use_->IsBusy(step.job->submission->queue.service);
   }
 
-  // Places one task, or a gang, in any room. The other tasks still wait for better room.
+  // Places one task, or a gang, on any racks. The other tasks still wait for better room.
+  // Precondition: MayWaitNoLonger(step).
   void PlaceAnywhere(StartCandidate step) {
-    step.takes_any_room = true;
+    step.takes_any_rack = true;
+    step.takes_reserved_room =
+        !service_use_->HasBusyAccelerators(step.job->submission->queue.service);
     if (!step.spec().is_gang) {
       step.task_indexes.resize(1);
     }
--- a/tests/workload/overdue_step_test.cc
+++ b/tests/workload/overdue_step_test.cc
@@ -86,6 +86,13 @@
   EXPECT_EQ(Starts(Gang(14), true), 14U);
 }
 
+// Guards against urgent work that finds its reserve taken while nearly all accelerators are in use.
+TEST_F(OverdueStepTest, Gang_BesideBusyAccelerators_LeavesTheReserveToUrgentWork) {
+  Occupy(0, 44, 8);
+  reserve_ = 4 * 8;
+  EXPECT_EQ(Starts(Gang(2), true), 0U);
+}
+
 // Guards against work that leaves its data in a fleet that is busy: more room is free there soon.
 TEST_F(OverdueStepTest, Tasks_InABusyFleet_WaitForTheRackOfTheirData) {
   for (int n = 0; n < 48; ++n) {
