--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -11,13 +11,17 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/future_acceptance.h"
 #include "clementineloom/workload/step_waits.h"
 #include "clementineloom/workload/task_planner.h"
 #include "clementineloom/workload/urgent_demand.h"
+#include "clementineloom/workload/wait_times.h"
 #include "codec/task_name.h"
 #include "entry/jobs/last_job_events.h"
+#include "entry/owner/advice_requests.h"
 #include "entry/owner/job_wait_log.h"
 #include "entry/owner/owner_core.h"
+#include "entry/owner/owner_timing.h"
 #include "entry/owner/run_starts.h"
 #include "entry/owner/run_stops.h"
 #include "entry/owner/step_wait_log.h"
@@ -32,7 +36,11 @@
   /// Precondition: the references outlive the placement.
   TaskPlacement(OwnerCore<Platform, Port>& core, RunStarts<Platform, Port>& starts,
                 RunStops<Platform, Port>& stops, const LastJobEvents& job_events)
-      : core_(core), starts_(starts), stops_(stops), job_waits_(job_events, core.options.epoch) {}
+      : core_(core),
+        starts_(starts),
+        stops_(stops),
+        advice_requests_(core),
+        job_waits_(job_events, core.options.epoch) {}
 
   /// @brief Schedules a plan after a short delay; all events until then share it.
   void SchedulePlan() {
@@ -49,17 +57,20 @@
     }
   }
 
-  /// @brief Logs the jobs that stand still and what keeps them, also while nothing may be placed.
-  /// To be called at short intervals.
-  void LogWaits() {
+  /// @brief Notes which steps have waited for too long, and logs what keeps jobs that stand still,
+  /// also while this owner may place nothing. To be called at short intervals, before a plan.
+  void CheckWaits() {
     const workload::SteadyTime now = core_.port.Now();
     if (now - waits_checked_at_ < kWaitCheckInterval) {
       return;
     }
     waits_checked_at_ = now;
+    const std::vector<workload::StepId> waiting =
+        workload::WaitingSteps(RequestOf(), SilentWorkers());
+    wait_times_.Note(now, waiting);
+    overdue_steps_ = wait_times_.LongerThan(kMaxWaitForBetterRoom);
     const workload::PlanRequest request = RequestOf();
-    const std::vector<workload::StepId> waiting = workload::WaitingSteps(request, SilentWorkers());
-    step_waits_.Check(request, waiting);
+    step_waits_.Check(request, wait_times_);
     job_waits_.Check(request, waiting, MayPlace());
   }
 
@@ -72,8 +83,10 @@
   // fraction of the time within which urgent work has to start.
   static constexpr int kPlanPauseFactor = 4;
   static constexpr workload::Milliseconds kMaxPlanPause{150};
-  static constexpr workload::Milliseconds kAdviceTimeout{2'000};
   static constexpr workload::Milliseconds kWaitCheckInterval{500};
+  // Longest wait of a job with nothing at work for better room than there is, unless its service is
+  // busy. The other half covers two intervals of the checks, the record of the start and the order.
+  static constexpr workload::Milliseconds kMaxWaitForBetterRoom = OwnerTiming::kMaxStandstill / 2;
 
   // Leaves time for lease renewals and ends where plans take long, as with a large fleet or a slow
   // processor.
@@ -89,13 +102,14 @@
     if (!MayPlace()) {
       return;
     }
+    BoundAcceptance();
     const workload::PlanRequest request = RequestOf();
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
     NoteUrgentLoads(request.now, plan.urgent_loads);
     LogNewWaits(plan.waits);
-    if (plan.question && !is_advice_requested_) {
-      RequestAdvice(*plan.question);
+    if (plan.question && advice_requests_.MayAsk()) {
+      advice_requests_.Ask(*plan.question);
     }
     for (const workload::Preemption& it : plan.preemptions) {
       Preempt(it);
@@ -107,10 +121,18 @@
 
   [[nodiscard]] bool MayPlace() const { return !core_.is_resigning && core_.HasCurrentView(); }
 
+  // Only in this owner's table: a successor bounds the times by its own clock.
+  void BoundAcceptance() {
+    for (const workload::SubmissionSet& it :
+         workload::AcceptedInTheFuture(core_.jobs, core_.port.UnixNowMs())) {
+      core_.jobs.Apply(it);
+    }
+  }
+
   workload::PlanRequest RequestOf() const {
-    return {core_.jobs,     core_.workers,    core_.operators.evacuated(), core_.advice,
-            claims_,        core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
-            UrgentReserve()};
+    return {core_.jobs,      core_.workers,    core_.operators.evacuated(), core_.advice,
+            claims_,         core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
+            UrgentReserve(), overdue_steps_};
   }
 
   workload::AcceleratorsByService UrgentReserve() const {
@@ -191,6 +213,9 @@
                                   it.run.checkpoint};
       records.push_back(workload::TaskSet{task, std::move(record)});
       core_.workers[it.worker].Add(it.run);
+      // One start for each job, until the next check shows whether it has begun.
+      std::erase_if(overdue_steps_,
+                    [&](const workload::StepId& step) { return step.job == task.step.job; });
     }
     core_.Append(records, [this, starts = std::move(starts)] {
       for (const workload::PlannedStart& it : starts) {
@@ -242,34 +267,19 @@
     starts_.OrderStart(start);
   }
 
-  void RequestAdvice(const workload::AdviceQuestion& question) {
-    if (core_.options.advice_address.empty()) {
-      return;
-    }
-    is_advice_requested_ = true;
-    core_.advice.NoteAsked(question.step, question.workers);
-    core_.port.Call(core_.options.advice_address, Platform::AdviceRequest(question), kAdviceTimeout,
-                    core_.Guard([this, question](const net::ClientResult& result) {
-                      is_advice_requested_ = false;
-                      const auto approved = Platform::ParseAdvice(result, core_.port.Now());
-                      if (approved) {
-                        core_.advice.Add(question.step, *approved);
-                      } else {
-                        core_.advice.ForgetAsked(question.step, question.workers);
-                      }
-                      SchedulePlan();
-                    }));
-  }
-
   OwnerCore<Platform, Port>& core_;
   RunStarts<Platform, Port>& starts_;
   RunStops<Platform, Port>& stops_;
+  AdviceRequests<Platform, Port> advice_requests_;
   // Capacity that the last plan reserved for waiting urgent tasks.
   std::vector<workload::RoomClaim> claims_;
   // By service; the room that less urgent work leaves free follows it.
   std::map<std::string, workload::UrgentDemand, std::less<>> urgent_demand_;
   // Steps within their team's guarantee that the last plan left waiting.
   std::set<workload::StepId> waiting_;
+  workload::WaitTimes wait_times_;
+  // Steps that have waited for long at the last check.
+  std::vector<workload::StepId> overdue_steps_;
   StepWaitLog step_waits_;
   JobWaitLog job_waits_;
   workload::SteadyTime waits_checked_at_;
@@ -277,7 +287,6 @@
   // End and duration of the last plan.
   workload::SteadyTime last_plan_ended_at_;
   std::chrono::nanoseconds last_plan_duration_{0};
-  bool is_advice_requested_ = false;
 };
 
 }  // namespace clementineloom::entry
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -2,17 +2,21 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/detail/advice_choice.h"
+#include "clementineloom/workload/detail/advice_turn.h"
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/rack_fit.h"
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
+#include "clementineloom/workload/detail/service_use.h"
 #include "clementineloom/workload/detail/standing_of.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
@@ -33,9 +37,6 @@
 // them end by themselves soon. The rest of the time in which it has to begin covers a stop and a
 // start.
 constexpr std::int64_t kReclaimAfterMs = 1'000;
-// Most workers in a question to the advice service: enough to find room; each costs the service
-// time.
-constexpr std::size_t kWorkersInQuestion = 30;
 
 // One planning pass: the room that is left, and what was decided so far.
 class PlanningPass {
@@ -72,16 +73,15 @@
       claims_.Release(step);
     }
     const std::size_t before = plan_.starts.size();
-    if (step.spec().is_gang) {
-      PlaceGang(step);
-    } else {
-      PlaceTasks(step);
+    PlaceWhole(step);
+    if (plan_.starts.size() == before && MayWaitNoLonger(step)) {
+      PlaceAnywhere(step);
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
     if (!is_whole && MayStopRunsFor(step)) {
       claims_.MakeRoom(step, plan_.starts.size() - before, !MayStopOnSeveralRacks(step));
     }
-    if (!is_whole && step.job->submission->queue.needs_advice && !plan_.question) {
+    if (!is_whole && step.job->submission->queue.needs_advice) {
       AddQuestion(step);
     }
     if (!is_whole && step.is_guaranteed) {
@@ -89,6 +89,38 @@
     }
   }
 
+  void PlaceWhole(const StartCandidate& step) {
+    if (step.spec().is_gang) {
+      PlaceGang(step);
+    } else {
+      PlaceTasks(step);
+    }
+  }
+
+  // Whether a step has waited for as long as it may beside free room, whatever it waits for.
+  bool MayWaitNoLonger(const StartCandidate& step) {
+    const auto& overdue = request_.overdue_steps;
+    if (!std::binary_search(overdue.begin(), overdue.end(), step.step)) {
+      return false;
+    }
+    if (!service_use_) {
+      service_use_ = detail::ServiceUse::Of(request_.workers);
+    }
+    return !service_use_->IsBusy(step.job->submission->queue.service);
+  }
+
+  // Places one task, or a gang, on any racks. The other tasks still wait for better room.
+  // Precondition: MayWaitNoLonger(step).
+  void PlaceAnywhere(StartCandidate step) {
+    step.takes_any_rack = true;
+    step.takes_reserved_room =
+        !service_use_->HasBusyAccelerators(step.job->submission->queue.service);
+    if (!step.spec().is_gang) {
+      step.task_indexes.resize(1);
+    }
+    PlaceWhole(step);
+  }
+
   // What urgent runs hold, and what urgent steps wait for, by service.
   UrgentLoads LoadsOf(std::span<const StartCandidate> steps) const {
     UrgentLoads loads;
@@ -225,17 +257,20 @@
     return last + 1;
   }
 
+  // Keeps the question of the step whose turn comes first.
   void AddQuestion(const StartCandidate& step) {
-    AdviceQuestion question{step.step, {}};
-    for (const WorkerRoom* it : rooms_.On({})) {
-      const std::string& id = it->worker->info.id;
-      if (question.workers.size() < kWorkersInQuestion && IsEligible(*it->worker, step) &&
-          HasRoom(*it, step) && !request_.advice.WasAsked(step.step, id)) {
-        question.workers.push_back(id);
-      }
+    const auto turn = detail::AdviceTurn::Of(step, request_);
+    if (!request_.advice.MayAsk(step.step, request_.now) ||
+        (question_turn_ && !turn.IsBefore(*question_turn_))) {
+      return;
     }
-    if (!question.workers.empty()) {
-      plan_.question = std::move(question);
+    std::vector<std::string> workers =
+        detail::ChooseWorkersToAskAbout(step, request_, rooms_, MayStopRunsFor(step));
+    if (!workers.empty()) {
+      const AdviceTimes& times = step.job->submission->queue.advice_times;
+      const Milliseconds answer_time = times.AnswerTime(workers.size());
+      plan_.question = AdviceQuestion{step.step, std::move(workers), answer_time};
+      question_turn_ = turn;
     }
   }
 
@@ -243,7 +278,11 @@
   const detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
+  // Counted when it is first needed.
+  std::optional<detail::ServiceUse> service_use_;
   StartPlan plan_;
+  // Turn of the step that asks.
+  std::optional<detail::AdviceTurn> question_turn_;
 };
 
 }  // namespace
