Advice: calls that were lost no longer use up the open calls

Seen by callers: where the advice service has been cut off for 25 s, steps stand still for over 3 s after that (LOST). Cause: an answer counted for 30 s after its time, and at most 16 calls may be open. A question is given up every second or so. Change: an answer counts for 10 s after its time. The compiler checks that fewer questions are given up in this time than may be open.

--- a/src/entry/owner/advice_requests.h
+++ b/src/entry/owner/advice_requests.h
@@ -57,14 +57,16 @@
   // For the network, and for a call of an earlier owner on this machine that the service still
   // works on. Leaves the steps behind most of the 3 s for which a job may stand still.
   static constexpr workload::Milliseconds kAnswerMargin{700};
-  // How long after its time an answer still counts. Calls without an answer may be carried out
-  // late, behind those that the service has taken before.
-  static constexpr workload::Milliseconds kMaxLateness{30'000};
+  // How long after its time an answer still counts. Short enough that calls that were lost do not
+  // use up the open calls: in this time, fewer questions are given up than calls may be open.
+  static constexpr workload::Milliseconds kMaxLateness{10'000};
   // Below the number of waiting calls from which on the service refuses more.
   static constexpr std::size_t kMaxOpenCalls = 16;
   // Pause after a call that the service refused, or that did not reach it.
   static constexpr workload::Milliseconds kRefusalPause{250};
 
+  static_assert(kMaxLateness < kAnswerMargin * static_cast<std::int64_t>(kMaxOpenCalls));
+
   void OnResult(std::uint64_t call, const workload::AdviceQuestion& question, const Lives& lives,
                 const net::ClientResult& result) {
     auto approved = Platform::ParseAdvice(result, core_.port.Now());
--- a/tests/entry/unanswered_advice_test.cc
+++ b/tests/entry/unanswered_advice_test.cc
@@ -59,6 +59,22 @@
   EXPECT_EQ(RunningOf(kFirst, 1) + RunningOf(kSecond, 1), 2U);
 }
 
+// Guards against steps that go on waiting for calls that were lost while the service was cut off.
+TEST_F(UnansweredAdviceTest, Service_CutOffFor25s_StepsBeginInTimeAfterwards) {
+  const std::string jobs[] = {kFirst, kSecond, "00000000000000a3", "00000000000000a4"};
+  standin::SimPort& port = cluster_.port(Owner(cluster_));
+  port.Cut(standin::StandInAdvice::kAddress);
+  for (const std::string& it : jobs) {
+    SubmitAdvised(it);
+  }
+  cluster_.RunFor(Milliseconds(25'000));
+  port.Heal(standin::StandInAdvice::kAddress);
+  cluster_.RunFor(kMaxStandstill);
+  for (const std::string& it : jobs) {
+    EXPECT_EQ(RunningOf(it, 1), 1U) << it;
+  }
+}
+
 // Guards against an answer that approves nobody and ends the questions, or holds up other steps.
 TEST_F(UnansweredAdviceTest, Step_WithOneApprovedWorker_BeginsThereInTime) {
   cluster_.advice.SetPolicy([](const std::string& step, const std::string& worker) {
