Soak jobs of the shapes of the users' deployment

The soak had gangs of three small tasks on workers that differ in nothing, so that no run could show the fault. Ruled out: A load of its own beside the soak; the callers, faults and checks serve both. The stand-in worker counts processors and memory as it did accelerators, and registers its labels. requests.log shows path and body of each request. `--jobs plain` (the default) draws what it drew before. Not modelled: a task that runs longer away from its data or on several racks, guaranteed accelerators, scheduled jobs.

--- a/tests/soak/caller_connection.cc
+++ b/tests/soak/caller_connection.cc
@@ -89,12 +89,9 @@
   offsets_.clear();
   ended_ = 0;
   for (const PlannedRequest& it : batch.requests) {
-    RequestRecord record;
+    RequestRecord record = RequestRecord::Of(it, options_.path_prefix, instance_);
     record.connection = number_;
     record.local_port = local_port_;
-    record.method = it.method;
-    record.job = it.job;
-    record.instance = instance_;
     records_.push_back(std::move(record));
     deadlines_.push_back(it.deadline);
   }
--- a/tests/soak/failure_causes.cc
+++ b/tests/soak/failure_causes.cc
@@ -1,6 +1,6 @@
 #include "soak/failure_causes.h"
 
-#include "soak/job_of_task.h"
+#include "soak/task_name.h"
 
 namespace clementineloom::soak {
 
--- a/tests/soak/job_bodies.cc
+++ b/tests/soak/job_bodies.cc
@@ -5,6 +5,8 @@
 #include <boost/json/serialize.hpp>
 #include <sstream>
 
+#include "soak/task_name.h"
+
 namespace clementineloom::soak {
 namespace {
 
@@ -22,11 +24,6 @@
   return {{"count", count}, {"cpu", 500}, {"memMb", 64}, {"gpus", 1}, {"estimateMs", estimate_ms}};
 }
 
-bool IsLaterStep(const std::string& task) {
-  const std::string step = task.substr(0, task.rfind('.'));
-  return !step.ends_with(".0");
-}
-
 }  // namespace
 
 std::string JobBodies::operator()(std::mt19937_64& random) const {
@@ -56,9 +53,9 @@
 }
 
 standin::RunProfile JobBodies::ProfileOf(const std::string& task, const std::string& payload) {
-  const bool is_later = IsLaterStep(task);
+  const bool is_later = StepOfTask(task) > 0;
   standin::RunProfile profile;
-  profile.accelerators = 1;
+  profile.resources.accelerators = 1;
   std::istringstream in(payload);
   std::uint64_t value = 0;
   for (std::string word; in >> word >> value;) {
@@ -68,6 +65,12 @@
       profile.gang_size = value;
     } else if (word == "fails" && !is_later) {
       profile.failing_runs = value;
+    } else if (word == "cpu") {
+      profile.resources.cpu_millicores = static_cast<std::int64_t>(value);
+    } else if (word == "memory") {
+      profile.resources.memory_mb = static_cast<std::int64_t>(value);
+    } else if (word == "accelerators") {
+      profile.resources.accelerators = static_cast<std::int64_t>(value);
     }
   }
   return profile;
--- a/tests/soak/job_history.h
+++ b/tests/soak/job_history.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstddef>
 #include <optional>
+#include <string>
 
 namespace clementineloom::soak {
 
@@ -11,6 +12,9 @@
 struct JobHistory {
   using Time = std::chrono::steady_clock::time_point;
 
+  /// Path of the job, and the body that submits it.
+  std::string path;
+  std::string body;
   std::size_t submissions = 0;
   /// Submissions that were answered with 429, 503 or another 4xx, or never sent.
   std::size_t rejected = 0;
--- a/tests/soak/job_reader.cc
+++ b/tests/soak/job_reader.cc
@@ -34,21 +34,20 @@
 JobReader::JobReader(std::vector<std::string> fronts)
     : fronts_(std::move(fronts)), client_("job-reader") {}
 
-JobReading JobReader::Read(const std::string& job, std::size_t instance) {
+JobReading JobReader::Read(const std::string& path, std::size_t instance) {
   constexpr int kTries = 3;
-  JobReading reading = ReadOnce(job, instance);
+  JobReading reading = ReadOnce(path, instance);
   for (int n = 1; n < kTries && !IsAnswer(reading); ++n) {
-    reading = ReadOnce(job, instance);
+    reading = ReadOnce(path, instance);
   }
   return reading;
 }
 
-JobReading JobReader::ReadOnce(const std::string& job, std::size_t instance) {
+JobReading JobReader::ReadOnce(const std::string& path, std::size_t instance) {
   const auto headers = net::HttpHeaders()
                            .With("Authorization", std::string("Token ") + SoakPlatform::kKey)
                            .With("X-Clementineloom-Deadline-Ms", std::to_string(kTimeout.count()));
-  const net::HttpRequest request{"GET", SoakPlatform::kPrefix + job, headers, "",
-                                 SoakPlatform::kHost};
+  const net::HttpRequest request{"GET", path, headers, "", SoakPlatform::kHost};
   const std::int64_t asked_ms = NowMs();
   const auto response = CatchRefusal(
       [&]() -> Result<net::HttpResponse> {
@@ -57,8 +56,12 @@
       [](const Refusal&) {
         return net::HttpResponse{0, {}, ""};
       });
-  return {job,     instance,        asked_ms,
-          NowMs(), response.status, response.status == kOk ? StateIn(response.body) : ""};
+  return {path.substr(path.rfind('/') + 1),
+          instance,
+          asked_ms,
+          NowMs(),
+          response.status,
+          response.status == kOk ? StateIn(response.body) : ""};
 }
 
 JobReading JobReader::FromRecord(const RequestRecord& record) {
--- a/tests/soak/keep_alive_caller.cc
+++ b/tests/soak/keep_alive_caller.cc
@@ -138,22 +138,19 @@
       const std::uint64_t number = log_.NextConnection();
       const bool is_connected = co_await connection.Connect(endpoints_[instance], instance, number);
       if (!is_connected || is_closing_) {
-        co_return Refused(batch, instance);
+        co_return NotConnected(batch, instance);
       }
     }
     co_return co_await connection.Exchange(batch);
   }
 
   // Records of a batch for which no connection was made.
-  static std::vector<RequestRecord> Refused(const RequestBatch& batch, std::size_t instance) {
+  [[nodiscard]] std::vector<RequestRecord> NotConnected(const RequestBatch& batch,
+                                                        std::size_t instance) const {
     std::vector<RequestRecord> records;
     for (const PlannedRequest& it : batch.requests) {
-      RequestRecord record;
-      record.method = it.method;
-      record.job = it.job;
-      record.instance = instance;
-      record.ended = Clock::now();
-      records.push_back(std::move(record));
+      records.push_back(RequestRecord::Of(it, options_.path_prefix, instance));
+      records.back().ended = Clock::now();
     }
     return records;
   }
--- a/tests/soak/request_log.cc
+++ b/tests/soak/request_log.cc
@@ -14,6 +14,8 @@
 }
 
 void AddSubmission(const RequestRecord& record, JobHistory& job) {
+  job.path = record.path;
+  job.body = record.sent_body;
   ++job.submissions;
   if (IsRejection(record)) {
     ++job.rejected;
--- a/tests/soak/request_record.h
+++ b/tests/soak/request_record.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "soak/planned_request.h"
 #include "soak/request_end.h"
 #include "soak/request_method.h"
 
@@ -21,6 +22,9 @@
   std::uint16_t local_port = 0;
   RequestMethod method = RequestMethod::kGet;
   std::string job;
+  /// Path and body of the request.
+  std::string path;
+  std::string sent_body;
   /// Index into CallerOptions::fronts.
   std::size_t instance = 0;
   /// When the first and the last byte were written; nothing if they were not.
@@ -36,6 +40,19 @@
   /// Whether a response with `Connection: close` had been read when the first byte was written.
   bool is_after_close = false;
 
+  /// @brief The record of a request that has not been sent yet.
+  /// @param instance that it goes to
+  [[nodiscard]] static RequestRecord Of(const PlannedRequest& request,
+                                        const std::string& path_prefix, std::size_t instance) {
+    RequestRecord record;
+    record.method = request.method;
+    record.job = request.job;
+    record.path = path_prefix + request.job;
+    record.sent_body = request.body;
+    record.instance = instance;
+    return record;
+  }
+
   /// @brief Whether the whole request was written and no complete response came.
   [[nodiscard]] bool is_unanswered() const {
     return last_byte.has_value() && end != RequestEnd::kAnswered;
--- a/tests/soak/run_check.cc
+++ b/tests/soak/run_check.cc
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-#include "soak/job_of_task.h"
+#include "soak/task_name.h"
 
 namespace clementineloom::soak {
 namespace {
--- a/tests/soak/soak_history.cc
+++ b/tests/soak/soak_history.cc
@@ -22,7 +22,7 @@
         << " connection=" << it.connection << " port=" << it.local_port << " " << NameOf(it.method)
         << " " << it.job << " " << NameOf(it.end) << " status=" << it.status
         << (it.is_pipelined ? " pipelined" : "") << (it.is_after_close ? " after_close" : "") << " "
-        << it.body << "\n";
+        << it.path << " " << it.sent_body << " " << it.body << "\n";
   }
 }
 
--- a/tests/soak/soak_options.cc
+++ b/tests/soak/soak_options.cc
@@ -1,8 +1,11 @@
 #include "soak/soak_options.h"
 
+#include <algorithm>
+#include <array>
 #include <cxxopts.hpp>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 #include "soak/fault_kind_names.h"
@@ -22,6 +25,23 @@
   return kinds;
 }
 
+constexpr std::array kJobMixes{std::pair{JobMix::kPlain, "plain"},
+                               std::pair{JobMix::kShapes, "shapes"}};
+// The value of a name in one of these tables.
+template <class Table>
+auto ValueNamed(const Table& table, const std::string& name) {
+  const auto it = std::ranges::find(table, name, [](const auto& row) { return row.second; });
+  if (it == table.end()) {
+    throw std::invalid_argument("unknown value: " + name);
+  }
+  return it->first;
+}
+
+template <class Table, class Value>
+std::string NameIn(const Table& table, Value value) {
+  return std::ranges::find(table, value, [](const auto& row) { return row.first; })->second;
+}
+
 cxxopts::Options CommandLine() {
   cxxopts::Options options("loom-soak", "Runs loom-entry as real processes under faults");
   options.add_options()("entry", "path of loom-entry", cxxopts::value<std::string>())(
@@ -37,6 +57,8 @@
       "rate", "jobs per second", cxxopts::value<double>()->default_value("8"))(
       "faults", "kinds of faults or groups of them, separated by commas",
       cxxopts::value<std::vector<std::string>>()->default_value("all"))(
+      "jobs", "plain, or shapes: racks, wide gangs, labels, three priorities",
+      cxxopts::value<std::string>()->default_value("plain"))(
       "keep", "folder for logs", cxxopts::value<std::string>()->default_value(""));
   return options;
 }
@@ -56,6 +78,7 @@
   options.calm = std::chrono::seconds(parsed["calm"].as<int>());
   options.rate = parsed["rate"].as<double>();
   options.faults = ParseKinds(parsed["faults"].as<std::vector<std::string>>());
+  options.jobs = ValueNamed(kJobMixes, parsed["jobs"].as<std::string>());
   options.keep = parsed["keep"].as<std::string>();
   if (options.instances == 0 || options.workers == 0) {
     throw std::invalid_argument("at least one instance and one worker are needed");
@@ -67,7 +90,8 @@
   std::ostringstream text;
   text << "--seed " << seed << " --instances " << instances << " --workers " << workers
        << " --accelerators " << accelerators_per_worker << " --seconds " << length.count()
-       << " --calm " << calm.count() << " --rate " << rate << " --faults ";
+       << " --calm " << calm.count() << " --rate " << rate << " --jobs " << NameIn(kJobMixes, jobs)
+       << " --faults ";
   const char* separator = "";
   for (const FaultKind it : faults) {
     text << separator << FaultKindName(it);
--- a/tests/soak/soak_options.h
+++ b/tests/soak/soak_options.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "soak/fault_kind.h"
+#include "soak/job_mix.h"
 
 namespace clementineloom::soak {
 
@@ -26,6 +27,7 @@
   /// Jobs submitted per second by all callers together.
   double rate = 8;
   std::set<FaultKind> faults;
+  JobMix jobs = JobMix::kPlain;
   /// Folder for logs that are kept; empty to remove them when the run has found no violation.
   std::string keep;
 
--- a/tests/soak/soak_platform.cc
+++ b/tests/soak/soak_platform.cc
@@ -8,6 +8,7 @@
 
 #include "codec/workload_record_codec.h"
 #include "soak/job_bodies.h"
+#include "soak/soak_queue.h"
 
 namespace clementineloom::soak {
 namespace {
@@ -17,19 +18,28 @@
 constexpr const char* kJobsTopic = "keyed.loom";
 constexpr const char* kWorkersTopic = "keyed.servers";
 
+json::object Route(const SoakQueue& queue) {
+  return {{"name", queue.name},
+          {"host", SoakPlatform::kHost},
+          {"pathPrefix", queue.path},
+          {"service", SoakFleet::kService},
+          {"priority", queue.priority},
+          {"maxAttempts", JobBodies::kMaxAttempts},
+          {"targetLatencyMs", queue.target_latency_ms},
+          {"stretch", queue.stretch},
+          {"public", false}};
+}
+
 std::string Config(std::uint64_t version) {
+  json::array routes;
+  for (const SoakQueue& it : kQueues) {
+    routes.push_back(Route(it));
+  }
   return json::serialize(json::object{
       {"version", version},
-      {"routes", json::array{json::object{{"name", "soak"},
-                                          {"host", SoakPlatform::kHost},
-                                          {"pathPrefix", SoakPlatform::kPrefix},
-                                          {"service", "inspect"},
-                                          {"priority", 1},
-                                          {"maxAttempts", JobBodies::kMaxAttempts},
-                                          {"targetLatencyMs", 250},
-                                          {"stretch", 1.5},
-                                          {"public", false}}}},
-      {"services", json::array{json::object{{"name", "inspect"}, {"enforcesCapacity", true}}}},
+      {"routes", std::move(routes)},
+      {"services",
+       json::array{json::object{{"name", SoakFleet::kService}, {"enforcesCapacity", true}}}},
       {"tenants",
        json::array{json::object{{"name", "t"}, {"apiKeys", json::array{SoakPlatform::kKey}}}}}});
 }
@@ -50,14 +60,15 @@
   });
   BOOST_LEAF_ASSIGN(store_address_, ports.Reserve());
   BOOST_LEAF_CHECK(world_.Serve(store_address_, standin::StandInStore::kAddress));
-  for (std::size_t n = 0; n < options_.workers; ++n) {
+  for (const workload::WorkerInfo& info : fleet_.workers()) {
     BOOST_LEAF_AUTO(address, ports.Reserve());
     world_.Run([&](standin::SimWorld& world) {
-      auto worker = std::make_unique<standin::StandInWorker>(
-          world, "w" + std::to_string(n), address, workload::Milliseconds(1'000));
+      auto worker = std::make_unique<standin::StandInWorker>(world, info.id, address,
+                                                             workload::Milliseconds(1'000));
       worker->SetProfiles(JobBodies::ProfileOf);
       worker->JoinGangs(*gangs_);
-      worker->SetAccelerators(options_.accelerators_per_worker, true);
+      worker->SetCapacity(info.capacity, true);
+      worker->SetLabels(info.labels);
       worker->Observe([this](const standin::RunEvent& event) { history_.Add(event); });
       workers_.push_back(std::move(worker));
     });
--- a/tests/soak/soak_platform.h
+++ b/tests/soak/soak_platform.h
@@ -13,6 +13,7 @@
 #include "soak/port_range.h"
 #include "soak/realtime_world.h"
 #include "soak/run_history.h"
+#include "soak/soak_fleet.h"
 #include "soak/soak_options.h"
 #include "standin/standin_gangs.h"
 #include "standin/standin_store.h"
@@ -26,7 +27,6 @@
 class SoakPlatform {
  public:
   static constexpr const char* kHost = "soak.example";
-  static constexpr const char* kPrefix = "/soak/";
   static constexpr const char* kKey = "soak-key";
 
   /// @param ports must outlive the platform
@@ -41,6 +41,10 @@
   /// @brief Where the store listens.
   [[nodiscard]] const std::string& store_address() const { return store_address_; }
   [[nodiscard]] std::size_t worker_count() const { return workers_.size(); }
+  /// @brief The workers as they register, but for their addresses.
+  [[nodiscard]] const std::vector<workload::WorkerInfo>& workers() const {
+    return fleet_.workers();
+  }
   /// @brief Where a worker listens.
   [[nodiscard]] const std::string& worker_address(std::size_t worker) const {
     return workers_.at(worker)->address();
@@ -69,13 +73,14 @@
   [[nodiscard]] std::vector<standin::RunEvent> RunEvents() const { return history_.Events(); }
 
  private:
-  explicit SoakPlatform(const SoakOptions& options) : options_(options) {}
+  explicit SoakPlatform(const SoakOptions& options)
+      : fleet_(SoakFleet::Make(options.jobs, options.workers, options.accelerators_per_worker)) {}
 
   Result<void> Open(PortRange& ports);
 
   static constexpr workload::Milliseconds kGangTimeout{3'000};
 
-  const SoakOptions options_;
+  const SoakFleet fleet_;
   RunHistory history_;
   std::string store_address_;
   std::uint64_t config_version_ = 0;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -3,13 +3,12 @@
 #include <chrono>
 #include <utility>
 
-#include "soak/job_bodies.h"
 #include "soak/job_reader.h"
+#include "soak/soak_source.h"
 
 namespace clementineloom::soak {
 namespace {
 
-constexpr std::size_t kCallers = 3;
 constexpr std::uint64_t kSeedsPerRun = 100;
 constexpr std::chrono::milliseconds kReadyTimeout{20'000};
 constexpr std::chrono::milliseconds kLastAnswers{10'000};
@@ -42,16 +41,16 @@
 
 Result<std::vector<std::unique_ptr<KeepAliveCaller>>> SoakRun::StartCallers() {
   std::vector<std::unique_ptr<KeepAliveCaller>> callers;
-  for (std::size_t n = 0; n < kCallers; ++n) {
+  for (const SoakSource& it : SourcesOf(options_.jobs)) {
     CallerOptions options;
     options.fronts = instances_->Fronts();
     options.host = SoakPlatform::kHost;
     options.api_key = SoakPlatform::kKey;
-    options.path_prefix = SoakPlatform::kPrefix;
-    options.seed = options_.seed * kSeedsPerRun + n;
-    options.submissions_per_second = options_.rate / kCallers;
-    options.reads_per_second = 2 * options_.rate / kCallers;
-    BOOST_LEAF_AUTO(caller, KeepAliveCaller::Start(options, JobBodies(), requests_));
+    options.path_prefix = it.queue.path;
+    options.seed = options_.seed * kSeedsPerRun + callers.size();
+    options.submissions_per_second = options_.rate * it.share;
+    options.reads_per_second = 2 * options.submissions_per_second;
+    BOOST_LEAF_AUTO(caller, KeepAliveCaller::Start(options, it.bodies, requests_));
     callers.push_back(std::move(caller));
   }
   return callers;
@@ -75,9 +74,9 @@
 std::vector<JobReading> SoakRun::ReadAll() const {
   JobReader reader(instances_->Fronts());
   std::vector<JobReading> readings;
-  for (const auto& [job, times] : AcceptedJobs(requests_)) {
-    for (std::size_t n = 0; n < options_.instances; ++n) {
-      readings.push_back(reader.Read(job, n));
+  for (const auto& [job, history] : requests_.Jobs()) {
+    for (std::size_t n = 0; history.accepted && n < options_.instances; ++n) {
+      readings.push_back(reader.Read(history.path, n));
     }
   }
   return readings;
--- a/tests/soak/job_of_task.h
+++ b/tests/soak/task_name.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 namespace clementineloom::soak {
@@ -9,4 +10,10 @@
   return task.substr(0, task.find('.'));
 }
 
+/// @brief The number of the step of such a task.
+[[nodiscard]] inline std::size_t StepOfTask(const std::string& task) {
+  const std::size_t end = task.rfind('.');
+  return std::stoul(task.substr(task.rfind('.', end - 1) + 1));
+}
+
 }  // namespace clementineloom::soak
--- a/tests/standin/run_profile.h
+++ b/tests/standin/run_profile.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "clementineloom/workload/resources.h"
 #include "clementineloom/workload/steady_time.h"
 
 namespace clementineloom::standin {
@@ -13,7 +14,7 @@
   workload::Milliseconds run_time{0};
   /// Number of members that must be present; 0 for a task outside of a gang.
   std::size_t gang_size = 0;
-  std::int64_t accelerators = 0;
+  workload::Resources resources{};
   /// Runs up to this number end as failed.
   std::uint64_t failing_runs = 0;
 
--- a/tests/standin/standin_worker.cc
+++ b/tests/standin/standin_worker.cc
@@ -45,15 +45,17 @@
 }
 
 std::string StandInWorker::Entry(const std::string& state, std::int64_t remaining_ms) const {
-  return json::serialize(json::object{
-      {"service", "inspect"},
-      {"address", advertised_address_.empty() ? address_ : advertised_address_},
-      {"zone", "kolka"},
-      {"state", state},
-      {"remainingMs", remaining_ms},
-      {"labels", json::array{"a", "r1"}},
-      {"born", started_at_ms_ + 1},
-      {"capacity", json::object{{"cpu", 8'000}, {"memMb", 1'000}, {"gpus", accelerators_}}}});
+  return json::serialize(
+      json::object{{"service", "inspect"},
+                   {"address", advertised_address_.empty() ? address_ : advertised_address_},
+                   {"zone", "kolka"},
+                   {"state", state},
+                   {"remainingMs", remaining_ms},
+                   {"labels", json::array(labels_.begin(), labels_.end())},
+                   {"born", started_at_ms_ + 1},
+                   {"capacity", json::object{{"cpu", capacity_.cpu_millicores},
+                                             {"memMb", capacity_.memory_mb},
+                                             {"gpus", capacity_.accelerators}}}});
 }
 
 void StandInWorker::Restart() {
@@ -163,7 +165,7 @@
   StandInRun started{run, std::string(body.at("spec").as_string()), world_.ElapsedMs()};
   const RunProfile profile =
       profile_of_ ? profile_of_(task, started.payload) : RunProfile{run_time_};
-  if (LacksRoom(profile.accelerators)) {
+  if (LacksRoom(profile.resources)) {
     return Json(409, {{"clockMs", ClockMs()}, {"reason", "room"}});
   }
   if (body.contains("checkpoint")) {
@@ -183,12 +185,12 @@
   return Json(200, {{"clockMs", ClockMs()}});
 }
 
-bool StandInWorker::LacksRoom(std::int64_t accelerators) const {
-  std::int64_t used = accelerators;
+bool StandInWorker::LacksRoom(const workload::Resources& needed) const {
+  workload::Resources used = needed;
   for (const auto& [task, profile] : profiles_) {
-    used += profile.accelerators;
+    used = used + profile.resources;
   }
-  return enforces_capacity_ && used > accelerators_;
+  return enforces_capacity_ && !used.FitsIn(capacity_);
 }
 
 void StandInWorker::BeginWork(const std::string& task, std::uint64_t run,
--- a/tests/standin/standin_worker.h
+++ b/tests/standin/standin_worker.h
@@ -45,11 +45,13 @@
   void Observe(RunObserver observer) { observer_ = std::move(observer); }
   /// @brief Sets the address under which it registers, if a proxy stands before its own.
   void SetAdvertisedAddress(std::string address) { advertised_address_ = std::move(address); }
-  /// @brief Sets the accelerators of the worker, and whether it rejects starts beyond them.
-  void SetAccelerators(std::int64_t count, bool enforces) {
-    accelerators_ = count;
+  /// @brief Sets the capacity of the worker, and whether it rejects starts beyond it.
+  void SetCapacity(const workload::Resources& capacity, bool enforces) {
+    capacity_ = capacity;
     enforces_capacity_ = enforces;
   }
+  /// @brief Sets the labels under which it registers: its kind first, its rack last.
+  void SetLabels(std::vector<std::string> labels) { labels_ = std::move(labels); }
   /// @brief Leaves starts that arrive from now on unanswered and carries them out after a delay;
   /// zero ends it.
   void CarryOutStartsLate(workload::Milliseconds delay) { start_delay_ = delay; }
@@ -122,8 +124,8 @@
   // Records the fencing token of an order. Returns whether the order is fenced.
   [[nodiscard]] bool IsFenced(std::uint64_t token);
   void ExtendLease(std::int64_t until_ms);
-  // Whether a start exceeds the accelerators of a worker that enforces its capacity.
-  [[nodiscard]] bool LacksRoom(std::int64_t accelerators) const;
+  // Whether a start exceeds the capacity of a worker that enforces it.
+  [[nodiscard]] bool LacksRoom(const workload::Resources& needed) const;
   // Begins the work of a run that is no longer waiting for other members of its gang.
   void BeginWork(const std::string& task, std::uint64_t run, workload::Milliseconds time);
   void EnterGang(const std::string& task, std::uint64_t run, const RunProfile& profile);
@@ -147,13 +149,14 @@
   std::uint64_t last_listed_end_ = 0;
   std::uint64_t acknowledged_ = 0;
   std::map<std::string, StandInRun> running_;
-  // Accelerators and gangs of what runs, by task.
+  // Resources and gangs of what runs, by task.
   std::map<std::string, RunProfile> profiles_;
   ProfileOf profile_of_;
   StandInGangs* gangs_ = nullptr;
   RunObserver observer_;
   std::string advertised_address_;
-  std::int64_t accelerators_ = 8;
+  workload::Resources capacity_{8'000, 1'000, 8};
+  std::vector<std::string> labels_{"a", "r1"};
   bool enforces_capacity_ = false;
   workload::Milliseconds start_delay_{0};
   bool is_down_ = false;
