Soak the loss of all power while jobs still come

The soak killed all instances for at most 1.5 s, at times that it drew. Change: The kind `power-off-all` (group `power`) kills all instances at half of the time, just after a job has been accepted, and starts them 1 to 4 s later. It is not drawn among the others, so that their plans stay as they were.

--- a/tests/soak/fault_kind.h
+++ b/tests/soak/fault_kind.h
@@ -17,6 +17,8 @@
   /// SIGKILL of all instances just after a job has been accepted.
   kKillAll,
   kFreeze,
+  /// The same as kKillAll, but once in a run, for longer, and with jobs still coming afterwards.
+  kPowerOffAll,
   // Faults of the store.
   kStoreSlow,
   kStoreLosesAnswers,
--- a/tests/soak/fault_kind_names.cc
+++ b/tests/soak/fault_kind_names.cc
@@ -22,6 +22,7 @@
     Row{FaultKind::kKillOwner, "kill-owner", "process"},
     Row{FaultKind::kKillAll, "kill-all", "process"},
     Row{FaultKind::kFreeze, "freeze", "process"},
+    Row{FaultKind::kPowerOffAll, "power-off-all", "power"},
     Row{FaultKind::kStoreSlow, "store-slow", "store"},
     Row{FaultKind::kStoreLosesAnswers, "store-loses-answers", "store"},
     Row{FaultKind::kStoreRefuses, "store-refuses", "store"},
--- a/tests/soak/fault_kind_names.h
+++ b/tests/soak/fault_kind_names.h
@@ -12,7 +12,7 @@
 [[nodiscard]] std::string_view FaultKindName(FaultKind kind);
 
 /// @brief The kinds that a name on the command line stands for: one kind, or those of a group
-/// ("planned", "process", "store", "link", "worker", "all"); empty for an unknown name.
+/// ("planned", "process", "power", "store", "link", "worker", "all"); empty for an unknown name.
 [[nodiscard]] std::set<FaultKind> FaultKindsNamed(std::string_view name);
 
 }  // namespace clementineloom::soak
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -1,5 +1,6 @@
 #include "soak/fault_plan.h"
 
+#include <algorithm>
 #include <random>
 
 namespace clementineloom::soak {
@@ -25,6 +26,8 @@
     case FaultKind::kKillAll:
       // Time until the restart.
       return Between(random, 50, 1'500);
+    case FaultKind::kPowerOffAll:
+      return Between(random, 1'000, 4'000);
     case FaultKind::kWorkerCrash:
     case FaultKind::kWorkerMute:
     case FaultKind::kWorkerFails:
@@ -40,18 +43,21 @@
 FaultPlan FaultPlan::Make(std::uint64_t seed, std::chrono::seconds length,
                           const std::set<FaultKind>& kinds) {
   FaultPlan plan;
-  if (kinds.empty()) {
-    return plan;
-  }
-  const std::vector<FaultKind> choices(kinds.begin(), kinds.end());
+  std::vector<FaultKind> choices(kinds.begin(), kinds.end());
+  std::erase(choices, FaultKind::kPowerOffAll);
   std::mt19937_64 random(seed);
   const std::int64_t end_ms = std::chrono::milliseconds(length).count();
-  for (std::int64_t at = Between(random, kShortestGapMs, kLongestGapMs); at < end_ms;
-       at += Between(random, kShortestGapMs, kLongestGapMs)) {
+  for (std::int64_t at = Between(random, kShortestGapMs, kLongestGapMs);
+       at < end_ms && !choices.empty(); at += Between(random, kShortestGapMs, kLongestGapMs)) {
     const FaultKind kind = choices[random() % choices.size()];
     const auto target = static_cast<std::size_t>(random() >> 1);
     plan.faults_.push_back({at, kind, target, DurationOf(kind, random)});
   }
+  if (kinds.contains(FaultKind::kPowerOffAll)) {
+    constexpr FaultKind kKind = FaultKind::kPowerOffAll;
+    plan.faults_.push_back({end_ms / 2, kKind, 0, DurationOf(kKind, random)});
+    std::ranges::stable_sort(plan.faults_, {}, &PlannedFault::at_ms);
+  }
   return plan;
 }
 
--- a/tests/soak/fault_runner.cc
+++ b/tests/soak/fault_runner.cc
@@ -58,6 +58,7 @@
     case FaultKind::kKillOwner:
     case FaultKind::kKillAll:
     case FaultKind::kFreeze:
+    case FaultKind::kPowerOffAll:
       return ApplyToProcess(fault);
     case FaultKind::kConfigChange:
       return platform_.PublishConfig();
@@ -97,6 +98,7 @@
     case FaultKind::kKillOwner:
       return KillOwner(fault);
     case FaultKind::kKillAll:
+    case FaultKind::kPowerOffAll:
       return KillAllAfterAcceptance(fault.duration_ms);
     case FaultKind::kFreeze:
       return processes_.Freeze(instance, fault.duration_ms);
--- a/tests/soak_test/fault_plan_test.cc
+++ b/tests/soak_test/fault_plan_test.cc
@@ -37,6 +37,14 @@
   EXPECT_GT(previous_ms, 115'000);
 }
 
+TEST_F(FaultPlanTest, Plan_WithLossOfAllPower_HasItOnceBetweenTheOtherFaults) {
+  const auto kinds = FaultKindsNamed("all");
+  const FaultPlan plan = FaultPlan::Make(3, kLength, kinds);
+  EXPECT_EQ(std::ranges::count(plan.faults(), FaultKind::kPowerOffAll, &PlannedFault::kind), 1);
+  EXPECT_TRUE(std::ranges::is_sorted(plan.faults(), {}, &PlannedFault::at_ms));
+  EXPECT_EQ(FaultPlan::Make(3, kLength, FaultKindsNamed("power")).faults().size(), 1U);
+}
+
 TEST_F(FaultPlanTest, Kinds_OfAllGroups_HaveNamesThatStandForThem) {
   for (const FaultKind it : FaultKindsNamed("all")) {
     EXPECT_EQ(FaultKindsNamed(FaultKindName(it)), std::set<FaultKind>{it});
