Judge in the soak jobs that stand still beside room

Cause: LOST asks, in the calm after the traffic, that no job has nothing running for 3 s while a task's turn has come, there is capacity for it twice over, and under half of the service's capacity is in use. The soak asked only whether jobs had ended after 25 s of calm. Ruled out: The owner's own counts; room that the owner takes for used is one of the suspected causes. Change: StandingStillCheck counts from the events of the workers what runs and what is free, by processors, memory and accelerators, on the workers that have the step's label. It takes 3 s from the rule, and asks for room for all open tasks twice over. CalmWindow is the time in which it judges: from the end of the traffic on, but not sooner than 4 s after the last fault; with `--still traffic` also while jobs come, which the rule does not ask. Cancelled jobs, and jobs whose attempts are used up, are left out. The faults end only when the last late start has been carried out, so that none is in the calm.

--- a/tests/soak/fault_runner.cc
+++ b/tests/soak/fault_runner.cc
@@ -228,6 +228,8 @@
       return ForAWhileAtWorker(worker, fault.duration_ms,
                                [](Worker& it, bool is_on) { it.FailAll(is_on ? "failed" : ""); });
     default:
+      // A start that arrives at the end is carried out later by the delay.
+      actions_.At(NowMs() + 2 * fault.duration_ms, [] {});
       return ForAWhileAtWorker(
           worker, fault.duration_ms, [delay_ms = fault.duration_ms](Worker& it, bool is_on) {
             it.CarryOutStartsLate(workload::Milliseconds(is_on ? delay_ms : 0));
--- a/tests/soak/soak_options.cc
+++ b/tests/soak/soak_options.cc
@@ -27,6 +27,10 @@
 
 constexpr std::array kJobMixes{std::pair{JobMix::kPlain, "plain"},
                                std::pair{JobMix::kShapes, "shapes"}};
+constexpr std::array kStillJudgings{std::pair{StillJudging::kNever, "never"},
+                                    std::pair{StillJudging::kCalm, "calm"},
+                                    std::pair{StillJudging::kTraffic, "traffic"}};
+
 // The value of a name in one of these tables.
 template <class Table>
 auto ValueNamed(const Table& table, const std::string& name) {
@@ -59,6 +63,8 @@
       cxxopts::value<std::vector<std::string>>()->default_value("all"))(
       "jobs", "plain, or shapes: racks, wide gangs, labels, three priorities",
       cxxopts::value<std::string>()->default_value("plain"))(
+      "still", "when jobs may not stand still beside room: never, calm or traffic",
+      cxxopts::value<std::string>()->default_value("calm"))(
       "keep", "folder for logs", cxxopts::value<std::string>()->default_value(""));
   return options;
 }
@@ -79,6 +85,7 @@
   options.rate = parsed["rate"].as<double>();
   options.faults = ParseKinds(parsed["faults"].as<std::vector<std::string>>());
   options.jobs = ValueNamed(kJobMixes, parsed["jobs"].as<std::string>());
+  options.still = ValueNamed(kStillJudgings, parsed["still"].as<std::string>());
   options.keep = parsed["keep"].as<std::string>();
   if (options.instances == 0 || options.workers == 0) {
     throw std::invalid_argument("at least one instance and one worker are needed");
@@ -91,7 +98,7 @@
   text << "--seed " << seed << " --instances " << instances << " --workers " << workers
        << " --accelerators " << accelerators_per_worker << " --seconds " << length.count()
        << " --calm " << calm.count() << " --rate " << rate << " --jobs " << NameIn(kJobMixes, jobs)
-       << " --faults ";
+       << " --still " << NameIn(kStillJudgings, still) << " --faults ";
   const char* separator = "";
   for (const FaultKind it : faults) {
     text << separator << FaultKindName(it);
--- a/tests/soak/soak_options.h
+++ b/tests/soak/soak_options.h
@@ -9,6 +9,7 @@
 
 #include "soak/fault_kind.h"
 #include "soak/job_mix.h"
+#include "soak/still_judging.h"
 
 namespace clementineloom::soak {
 
@@ -28,6 +29,7 @@
   double rate = 8;
   std::set<FaultKind> faults;
   JobMix jobs = JobMix::kPlain;
+  StillJudging still = StillJudging::kCalm;
   /// Folder for logs that are kept; empty to remove them when the run has found no violation.
   std::string keep;
 
--- a/tests/soak/soak_result.cc
+++ b/tests/soak/soak_result.cc
@@ -12,6 +12,7 @@
 #include "soak/request_names.h"
 #include "soak/run_check.h"
 #include "soak/soak_clock.h"
+#include "soak/standing_still_check.h"
 
 namespace clementineloom::soak {
 namespace {
@@ -32,6 +33,17 @@
   return shown;
 }
 
+// The shapes of all submitted jobs.
+std::map<std::string, JobShape> ShapesOf(const RequestLog& requests) {
+  std::map<std::string, JobShape> shapes;
+  for (const auto& [job, history] : requests.Jobs()) {
+    if (history.submissions > 0) {
+      shapes.emplace(job, JobShape::Parse(history.body));
+    }
+  }
+  return shapes;
+}
+
 }  // namespace
 
 std::map<std::string, JobTimes> AcceptedJobs(const RequestLog& requests) {
@@ -70,6 +82,9 @@
   const auto shown = ShownCompleted(readings);
   const auto refused = result.requests.Refused();
   Append(violations, RunCheck(shown, refused).Check(result.runs));
+  const auto shapes = ShapesOf(result.requests);
+  Append(violations,
+         StandingStillCheck(jobs, shapes, result.workers, causes, result.calm).Check(result.runs));
   return violations;
 }
 
--- a/tests/soak/soak_result.h
+++ b/tests/soak/soak_result.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "clementineloom/workload/worker_info.h"
+#include "soak/calm_window.h"
 #include "soak/disturbances.h"
 #include "soak/job_reading.h"
 #include "soak/job_times.h"
@@ -18,9 +20,12 @@
 struct SoakResult {
   const RequestLog& requests;
   const Disturbances& disturbances;
+  const std::vector<workload::WorkerInfo>& workers;
   std::vector<standin::RunEvent> runs;
   /// What the instances said of the accepted jobs after the calm.
   std::vector<JobReading> final_readings;
+  /// When no job may stand still beside room.
+  CalmWindow calm;
 };
 
 /// @brief The accepted jobs.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "soak/job_reader.h"
+#include "soak/soak_clock.h"
 #include "soak/soak_source.h"
 
 namespace clementineloom::soak {
@@ -61,14 +62,21 @@
   faults_->Run(FaultPlan::Make(options_.seed, options_.length, options_.faults),
                std::chrono::milliseconds(options_.length).count());
   faults_->Settle();
+  const std::int64_t settled_ms = NowMs();
   for (const auto& it : callers) {
     (void)it->Stop(kLastAnswers);
   }
   callers.clear();
+  const std::int64_t traffic_end_ms = NowMs();
   faults_->Wait(std::chrono::milliseconds(options_.calm).count());
+  const CalmWindow calm = CalmWindow::Of(settled_ms, traffic_end_ms, NowMs(), options_.still);
   std::vector<JobReading> readings = ReadAll();
-  return SoakResult{requests_, faults_->disturbances(), platform_->RunEvents(),
-                    std::move(readings)};
+  return SoakResult{requests_,
+                    faults_->disturbances(),
+                    platform_->workers(),
+                    platform_->RunEvents(),
+                    std::move(readings),
+                    calm};
 }
 
 std::vector<JobReading> SoakRun::ReadAll() const {
