--- a/tests/soak/fault_runner.cc
+++ b/tests/soak/fault_runner.cc
@@ -58,6 +58,7 @@
     case FaultKind::kKillOwner:
     case FaultKind::kKillAll:
     case FaultKind::kFreeze:
+    case FaultKind::kPowerOffAll:
       return ApplyToProcess(fault);
     case FaultKind::kConfigChange:
       return platform_.PublishConfig();
@@ -97,6 +98,7 @@
     case FaultKind::kKillOwner:
       return KillOwner(fault);
     case FaultKind::kKillAll:
+    case FaultKind::kPowerOffAll:
       return KillAllAfterAcceptance(fault.duration_ms);
     case FaultKind::kFreeze:
       return processes_.Freeze(instance, fault.duration_ms);
@@ -226,6 +228,8 @@
       return ForAWhileAtWorker(worker, fault.duration_ms,
                                [](Worker& it, bool is_on) { it.FailAll(is_on ? "failed" : ""); });
     default:
+      // A start that arrives at the end is carried out later by the delay.
+      actions_.At(NowMs() + 2 * fault.duration_ms, [] {});
       return ForAWhileAtWorker(
           worker, fault.duration_ms, [delay_ms = fault.duration_ms](Worker& it, bool is_on) {
             it.CarryOutStartsLate(workload::Milliseconds(is_on ? delay_ms : 0));
