--- a/tests/entry/standing_still_test.cc
+++ b/tests/entry/standing_still_test.cc
@@ -33,7 +33,7 @@
   // Two workers on each rack, from r1 on.
   StandingStillTest() {
     for (std::size_t n = 0; n < cluster_.workers.size(); ++n) {
-      cluster_.workers[n]->SetRack("r" + std::to_string(1 + n / 2));
+      cluster_.workers[n]->SetLabels({"a", "r" + std::to_string(1 + n / 2)});
       cluster_.Register(*cluster_.workers[n]);
     }
     cluster_.RunFor(kAMoment);
