step_waits tells a step that waits for no better room any more

Change: OverdueRule decides for the planner and for the line which steps wait on; the line has the field overdue.

--- a/include/clementineloom/workload/step_wait.h
+++ b/include/clementineloom/workload/step_wait.h
@@ -31,6 +31,8 @@
   WaitReason reason = WaitReason::kNextPlan;
   /// Time after which it no longer waits for a rack, in ms; 0 where it does not.
   std::int64_t ends_in_ms = 0;
+  /// Whether it waits for no better room any more.
+  bool is_overdue = false;
   /// Tasks of the step that are not done, and those of them whose runs hold room.
   std::uint32_t open_tasks = 0;
   std::uint32_t held_tasks = 0;
--- a/src/entry/owner/step_wait_log.h
+++ b/src/entry/owner/step_wait_log.h
@@ -63,6 +63,7 @@
                        {"reserved", workers.reserved},
                        {"full", workers.full},
                        {"unattached", workers.unattached},
+                       {"overdue", wait.is_overdue ? 1 : 0},
                        {"backing_off", workers.backing_off},
                        {"evacuated", workers.evacuated},
                        {"leaving", workers.leaving},
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "clementineloom/workload/detail/overdue_rule.h"
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
@@ -170,13 +171,17 @@
 }
 
 StepWait DescribeWait(const PlanRequest& request, const StepId& step,
-                      const detail::RoomTable& rooms) {
+                      const detail::RoomTable& rooms, detail::OverdueRule& overdue_rule) {
   const JobEntry& job = *request.jobs.Find(step.job);
   const std::string& service = job.submission->queue.service;
   StepWait wait;
   wait.step = step;
-  const detail::StartCandidate candidate{&job, step, CountTasks(job, request, wait),
-                                         job.submission->DueAtMs(step.occurrence)};
+  detail::StartCandidate candidate{&job, step, CountTasks(job, request, wait),
+                                   job.submission->DueAtMs(step.occurrence)};
+  if (const auto overdue = overdue_rule.WithoutWaits(candidate)) {
+    wait.is_overdue = true;
+    candidate = *overdue;
+  }
   wait.needed = candidate.spec().Reserved();
   wait.claims = request.claims.size();
   if (const auto it = request.urgent_reserve.find(service); it != request.urgent_reserve.end()) {
@@ -210,8 +215,9 @@
     return waits;
   }
   const detail::RoomTable rooms(request);
+  detail::OverdueRule overdue_rule(request);
   for (const StepId& it : steps) {
-    waits.push_back(DescribeWait(request, it, rooms));
+    waits.push_back(DescribeWait(request, it, rooms, overdue_rule));
   }
   return waits;
 }
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -12,11 +12,11 @@
 #include "clementineloom/workload/detail/advice_choice.h"
 #include "clementineloom/workload/detail/advice_turn.h"
 #include "clementineloom/workload/detail/guarantee_table.h"
+#include "clementineloom/workload/detail/overdue_rule.h"
 #include "clementineloom/workload/detail/rack_fit.h"
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
-#include "clementineloom/workload/detail/service_use.h"
 #include "clementineloom/workload/detail/standing_of.h"
 #include "clementineloom/workload/detail/start_candidates.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
@@ -45,7 +45,8 @@
       : request_(request),
         guarantees_(guarantees),
         rooms_(request),
-        claims_(request, rooms_, guarantees) {}
+        claims_(request, rooms_, guarantees),
+        overdue_rule_(request) {}
 
   // Places steps of one rank. Keeps what the last plan claimed for the urgent ones among them from
   // those that are placed before them.
@@ -74,8 +75,8 @@
     }
     const std::size_t before = plan_.starts.size();
     PlaceWhole(step);
-    if (plan_.starts.size() == before && MayWaitNoLonger(step)) {
-      PlaceAnywhere(step);
+    if (plan_.starts.size() == before) {
+      PlaceIfOverdue(step);
     }
     const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
     if (!is_whole && MayStopRunsFor(step)) {
@@ -97,28 +98,16 @@
     }
   }
 
-  // Whether a step has waited for as long as it may beside free room, whatever it waits for.
-  bool MayWaitNoLonger(const StartCandidate& step) {
-    const auto& overdue = request_.overdue_steps;
-    if (!std::binary_search(overdue.begin(), overdue.end(), step.step)) {
-      return false;
-    }
-    if (!service_use_) {
-      service_use_ = detail::ServiceUse::Of(request_.workers);
+  // Places one task, or a gang, that waits no longer. The other tasks still wait for better room.
+  void PlaceIfOverdue(const StartCandidate& step) {
+    auto overdue = overdue_rule_.WithoutWaits(step);
+    if (!overdue) {
+      return;
     }
-    return !service_use_->IsBusy(step.job->submission->queue.service);
-  }
-
-  // Places one task, or a gang, on any racks. The other tasks still wait for better room.
-  // Precondition: MayWaitNoLonger(step).
-  void PlaceAnywhere(StartCandidate step) {
-    step.takes_any_rack = true;
-    step.takes_reserved_room =
-        !service_use_->HasBusyAccelerators(step.job->submission->queue.service);
-    if (!step.spec().is_gang) {
-      step.task_indexes.resize(1);
+    if (!overdue->spec().is_gang) {
+      overdue->task_indexes.resize(1);
     }
-    PlaceWhole(step);
+    PlaceWhole(*overdue);
   }
 
   // What urgent runs hold, and what urgent steps wait for, by service.
@@ -278,8 +267,7 @@
   const detail::GuaranteeTable& guarantees_;
   detail::RoomTable rooms_;
   detail::UrgentClaims claims_;
-  // Counted when it is first needed.
-  std::optional<detail::ServiceUse> service_use_;
+  detail::OverdueRule overdue_rule_;
   StartPlan plan_;
   // Turn of the step that asks.
   std::optional<detail::AdviceTurn> question_turn_;
--- a/tests/entry/job_wait_log_test.cc
+++ b/tests/entry/job_wait_log_test.cc
@@ -42,7 +42,7 @@
   (void)cluster.Submit(Owner(cluster), kJob, kUnknownLabel);
   cluster.RunFor(kVeryLong);
   EXPECT_TRUE(log_.Contains(
-      " reason=room ends_in_ms=0 open=1 held=0 usable=0 reserved=0 full=0 unattached=0"));
+      " reason=room ends_in_ms=0 open=1 held=0 usable=0 reserved=0 full=0 unattached=0 overdue=1"));
   EXPECT_TRUE(log_.Contains(" reason=room ends_in_ms=0 may_place=1 last_event=submitted"));
 }
 
--- a/tests/workload/step_waits_test.cc
+++ b/tests/workload/step_waits_test.cc
@@ -37,7 +37,8 @@
     workers_[worker].Add(run);
   }
   [[nodiscard]] PlanRequest Request() const {
-    return {jobs_, workers_, evacuated_, advice_, claims_, now_, kNowMs, teams_, reserve_};
+    return {jobs_, workers_, evacuated_, advice_,  claims_,
+            now_,  kNowMs,   teams_,     reserve_, overdue_};
   }
   // What the only step of a job, accepted now, waits for.
   [[nodiscard]] StepWait WaitOf(StepSpec step) {
@@ -50,6 +51,7 @@
   }
 
   AcceleratorsByService reserve_;
+  std::vector<StepId> overdue_;
 };
 
 // Guards against a log that names a step whose turn has not come, or not the one whose turn it is.
@@ -121,6 +123,19 @@
   EXPECT_EQ(wait.ends_in_ms, kEstimateMs);
 }
 
+// Guards against a line that names a wait for a rack which the planner no longer makes.
+TEST_F(StepWaitsTest, Reason_OfAnOverdueStepBesideFreeRoom_IsNotTheRack) {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  workers_["w1"].used = kCapacity;
+  StepSpec step = Step(1, 1);
+  step.data_rack = "r1";
+  overdue_ = {{kJob, 0, 0}};
+  const StepWait wait = WaitOf(step);
+  EXPECT_EQ(wait.reason, WaitReason::kNextPlan);
+  EXPECT_TRUE(wait.is_overdue);
+}
+
 // Guards against a gang's wait for a rack that looks like a lack of room.
 TEST_F(StepWaitsTest, Reason_OfAGangThatFitsOnSeveralRacksOnly_IsOneRackAndItsEnd) {
   for (const char* it : {"w1", "w2"}) {
