A job with a lasting step is never late, so that its lost tasks start again in a full fleet

Seen by callers: a task that runs until it is cancelled, of priority 0, loses its worker while less urgent work fills the fleet.

Cause: StandingOf compared the time since the acceptance of the job with its objective, also where the job has no end. After three objectives each waiting task counted as one that is of no use any more: it came after all other steps of its priority, and nothing was stopped for it. Finite steps that a lasting one waits for were judged in the same way.

Critical paths are used by StandingOf only; guarantees, reclaiming and victims do not ask the standing, except that nothing is stopped for a missed step.

Change: the objective of a job with a step that runs until it is cancelled is always reachable.

--- a/include/clementineloom/workload/detail/standing_of.h
+++ b/include/clementineloom/workload/detail/standing_of.h
@@ -10,7 +10,9 @@
 /// @brief The standing of a step's job, by the caller's estimates of the work that remains.
 ///
 /// The objective of a job is a multiple of its critical path and a fixed latency, both set by its
-/// queue. Thread safety: a pure function. Complexity: linear in the dependencies of the job.
+/// queue. For a job with a step that runs until it is cancelled it is always reachable: the job has
+/// no end that could be late, and its tasks have to be at work however long ago it was accepted.
+/// Thread safety: a pure function. Complexity: linear in the dependencies of the job.
 [[nodiscard]] ObjectiveStanding StandingOf(const StartCandidate& step, std::int64_t unix_now_ms);
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/detail/standing_of.cc
+++ b/src/workload/detail/standing_of.cc
@@ -1,5 +1,7 @@
 #include "clementineloom/workload/detail/standing_of.h"
 
+#include <algorithm>
+
 #include "clementineloom/workload/detail/critical_path.h"
 
 namespace clementineloom::workload::detail {
@@ -14,10 +16,19 @@
          submission.queue.target_latency_ms;
 }
 
+// Whether the job runs until it is cancelled, so that it has no end that could be late.
+bool RunsUntilCancelled(const JobSubmission& submission) {
+  return std::any_of(submission.steps.begin(), submission.steps.end(),
+                     [](const StepSpec& it) { return it.runs_until_cancelled; });
+}
+
 }  // namespace
 
 ObjectiveStanding StandingOf(const StartCandidate& step, std::int64_t unix_now_ms) {
   const JobSubmission& submission = *step.job->submission;
+  if (RunsUntilCancelled(submission)) {
+    return ObjectiveStanding::kReachable;
+  }
   const std::int64_t objective_ms = ObjectiveMs(submission);
   const std::int64_t ends_after_ms =
       unix_now_ms - step.due_at_ms + CriticalPathFromMs(submission.steps, step.step.step);
