Ignore worker entries whose service no configuration names

Cause: WorkerDirectory reported each entry that could be parsed, whatever its service.

Ruled out: refusing unknown services in the parser, which does not know the configuration; naming only the services of the newest configuration, because accepted jobs keep a service that a later one drops.

Change: NamedServices holds the services of the configurations that were read and of the jobs accepted before the takeover. An entry of another service unlists its worker, as one that cannot be parsed does, and is kept until a configuration names its service.

The test of a service that a later configuration names passed before and after; that of one that is dropped was rewritten after its first form failed on the old code, and ran on the new code only.

--- a/src/entry/election/ownership.h
+++ b/src/entry/election/ownership.h
@@ -13,6 +13,7 @@
 #include "entry/jobs/last_job_events.h"
 #include "entry/metric_specs.h"
 #include "entry/operator/operator_view.h"
+#include "entry/owner/named_services.h"
 #include "entry/owner/owner.h"
 #include "entry/owner/owner_hooks.h"
 #include "entry/owner/owner_options.h"
@@ -58,7 +59,8 @@
                                                    AppendOptions(options.epoch)),
         options, std::move(hooks));
     directory_ = std::make_unique<WorkerDirectory<Platform, Port>>(
-        port_, StoreEndpoint{jobs_topic_.address, Platform::kWorkerTopic}, WorkerSink());
+        port_, StoreEndpoint{jobs_topic_.address, Platform::kWorkerTopic},
+        NamedServices::Of(operators_, jobs_), WorkerSink());
     owner_->Start();
     directory_->Start();
   }
@@ -88,6 +90,7 @@
   /// @brief Tells the owner, if there is one, that the operator view changed or became current.
   void OnOperatorsChanged() {
     if (is_held()) {
+      directory_->OnServicesChanged();
       owner_->OnOperatorsChanged();
     }
   }
--- a/src/entry/operator/operator_view.h
+++ b/src/entry/operator/operator_view.h
@@ -19,6 +19,9 @@
     if (config_ && config.version <= config_->version) {
       return false;
     }
+    for (const workload::Queue& it : config.queues) {
+      named_services_.insert(it.service);
+    }
     config_ = std::move(config);
     return true;
   }
@@ -36,6 +39,10 @@
   }
 
   [[nodiscard]] const std::optional<workload::WorkloadConfig>& config() const { return config_; }
+  /// @brief Whether the configuration in force, or an earlier one, names a service.
+  [[nodiscard]] bool HasNamed(const std::string& service) const {
+    return named_services_.contains(service);
+  }
   [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
 
  private:
@@ -44,6 +51,7 @@
   static constexpr workload::Milliseconds kMaxAge{3'000};
 
   std::optional<workload::WorkloadConfig> config_;
+  std::set<std::string> named_services_;
   std::set<std::string> evacuated_;
   std::optional<workload::SteadyTime> complete_until_;
 };
--- a/src/entry/owner/worker_directory.h
+++ b/src/entry/owner/worker_directory.h
@@ -12,6 +12,7 @@
 #include "clementineloom/errors/result.h"
 #include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_info.h"
+#include "entry/owner/named_services.h"
 #include "entry/store/read_size.h"
 #include "entry/store/topic_follower.h"
 
@@ -19,9 +20,11 @@
 
 /// @brief Follows the workers' entries and reports changes to its sink.
 ///
-/// An entry that cannot be parsed, left by another writer, counts as no worker: the worker of the
-/// entry that it replaced is removed, and other workers are unaffected. It is logged once while its
-/// key is present. Thread safety: none; use from the thread of the port.
+/// An entry that cannot be parsed, or whose service no configuration names, counts as no worker,
+/// since another writer may have left it: the worker of the entry that it replaced is no longer
+/// listed, what is known of it remains, and other workers are unaffected. It is logged once while
+/// its key is present. An entry counts from the moment at which its service is named.
+/// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
 class WorkerDirectory {
  public:
@@ -32,8 +35,9 @@
     std::function<void(workload::SteadyTime)> on_read;
   };
 
-  WorkerDirectory(Port& port, StoreEndpoint endpoint, Sink sink)
-      : sink_(std::move(sink)),
+  WorkerDirectory(Port& port, StoreEndpoint endpoint, NamedServices services, Sink sink)
+      : services_(std::move(services)),
+        sink_(std::move(sink)),
         follower_(port, std::move(endpoint), ReadOptions(),
                   {[this](const auto& items) { OnReload(items); },
                    [this](const auto& items) { OnItems(items); },
@@ -41,6 +45,18 @@
 
   void Start() { follower_.Start(); }
 
+  /// @brief Lists the workers whose service a new configuration names.
+  void OnServicesChanged() {
+    for (auto it = unnamed_.begin(); it != unnamed_.end();) {
+      if (services_.Contains(it->second.service)) {
+        SetWorker(it->second);
+        it = unnamed_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
  private:
   // Heartbeats arrive continuously and are read in batches, but a drain has to be noticed well
   // within a second. Only the owner reads them, so that its reads may be large.
@@ -67,6 +83,7 @@
     }
     std::erase_if(logged_keys_,
                   [&present](const std::string& it) { return !present.contains(it); });
+    std::erase_if(unnamed_, [&present](const auto& it) { return !present.contains(it.first); });
     OnItems(items);
   }
 
@@ -78,6 +95,7 @@
   }
 
   void ApplyEntry(const workload::KeyedValue& item) {
+    unnamed_.erase(item.key);
     if (item.value.empty()) {
       logged_keys_.erase(item.key);
       RemoveWorker(item.key);
@@ -88,10 +106,20 @@
       RemoveWorker(item.key);
       return;
     }
-    const auto known = workers_.find(item.key);
-    if (known == workers_.end() || known->second != *worker) {
-      workers_.insert_or_assign(item.key, *worker);
-      sink_.on_worker(*worker);
+    if (!services_.Contains(worker->service)) {
+      LogIgnoredEntry(item, {.code = ResultCode::kInvalidValue, .detail = "service"});
+      unnamed_.insert_or_assign(item.key, *worker);
+      RemoveWorker(item.key);
+      return;
+    }
+    SetWorker(*worker);
+  }
+
+  void SetWorker(const workload::WorkerInfo& worker) {
+    const auto known = workers_.find(worker.id);
+    if (known == workers_.end() || known->second != worker) {
+      workers_.insert_or_assign(worker.id, worker);
+      sink_.on_worker(worker);
     }
   }
 
@@ -123,9 +151,12 @@
     }
   }
 
+  const NamedServices services_;
   const Sink sink_;
   std::map<std::string, workload::WorkerInfo> workers_;
-  // Present keys for which an entry that cannot be parsed was logged.
+  // Present entries whose service no configuration names.
+  std::map<std::string, workload::WorkerInfo> unnamed_;
+  // Present keys for which an ignored entry was logged.
   std::set<std::string> logged_keys_;
   TopicFollower<Platform, Port> follower_;
 };
