Quotas, shares and rates of teams

Cause: the configuration gives teams a weight and a cap, and neither was read, so that a team could hold the whole fleet. Change: the planner counts what the runs of each team hold, in any stage, and starts nothing beyond the quota; gangs count whole, and one that waits for room in the quota keeps later steps of its team from it. Steps of one rank go by weighted dominant share, work beyond the rate of its team goes last and stops nothing, and runs of teams above their shares are stopped first. A job that the quota can never hold is refused at hand-in (quota_exceeded); one beyond the rate that cannot begin in time is refused by the owner (rate_exceeded), each with Retry-After. Before a start is ordered the quota is checked again if the configuration has changed. Gauges show what each team holds. Times of acceptance are bounded when submissions were applied and with the waits, no longer in each plan.

--- a/include/clementineloom/errors/result_code.h
+++ b/include/clementineloom/errors/result_code.h
@@ -47,6 +47,7 @@
   kJobFinished = 3012,
   kRetryBudgetExhausted = 3013,
   kDuplicateSubmission = 3014,
+  kQuotaExceeded = 3015,
 
   kMalformedRequest = 4001,
   kRequestTooLarge = 4002,
@@ -63,6 +64,7 @@
   kKeyReused = 4013,
   kInProgressElsewhere = 4014,
   kAnswerTruncated = 4015,
+  kRateExceeded = 4016,
 
   kLogUnavailable = 5001,
   kAppendUnknown = 5002,
--- a/include/clementineloom/workload/detail/rack_fit.h
+++ b/include/clementineloom/workload/detail/rack_fit.h
@@ -14,6 +14,10 @@
 [[nodiscard]] bool HasRoomForAll(const StartCandidate& step, const std::vector<WorkerRoom*>& rooms,
                                  const PlanRequest& request);
 
+/// @brief Whether the fleet could hold all waiting tasks of a step if nothing else ran there.
+/// Thread safety: a pure function.
+[[nodiscard]] bool CanFleetHold(const StartCandidate& step, const RoomTable& rooms);
+
 /// @brief Whether any rack could hold all waiting tasks of a step if nothing else ran there.
 /// Thread safety: a pure function.
 [[nodiscard]] bool CanAnyRackHold(const StartCandidate& step, const RoomTable& rooms);
--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -9,6 +9,7 @@
 
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/room_index.h"
+#include "clementineloom/workload/detail/team_usage_table.h"
 #include "clementineloom/workload/detail/worker_room.h"
 #include "clementineloom/workload/plan_request.h"
 
@@ -49,7 +50,7 @@
   }
 
   /// @brief Lists the runs that may be stopped for urgent tasks, once for the plan.
-  void ListVictims(const GuaranteeTable& guarantees);
+  void ListVictims(const GuaranteeTable& guarantees, const TeamUsageTable& usage);
 
   /// @brief Stops a run, and with it the other members of its gang, wherever they run.
   /// @return the rooms that change
--- a/include/clementineloom/workload/detail/standing_of.h
+++ b/include/clementineloom/workload/detail/standing_of.h
@@ -7,6 +7,10 @@
 
 namespace clementineloom::workload::detail {
 
+/// @brief Time from the submission of a job within which it should end; 0 without an objective.
+/// Thread safety: a pure function.
+[[nodiscard]] std::int64_t ObjectiveMs(const JobSubmission& submission);
+
 /// @brief The standing of a step's job, by the caller's estimates of the work that remains.
 ///
 /// The objective of a job is a multiple of its critical path and a fixed latency, both set by its
--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -26,6 +26,8 @@
   bool takes_any_rack = false;
   /// It has waited for so long beside idle accelerators that it takes those kept for urgent work.
   bool takes_reserved_room = false;
+  /// Its team submitted its job beyond the team's rate.
+  bool is_beyond_rate = false;
   /// What its job can still reach.
   ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
--- a/include/clementineloom/workload/detail/urgent_claims.h
+++ b/include/clementineloom/workload/detail/urgent_claims.h
@@ -11,6 +11,7 @@
 #include "clementineloom/workload/detail/reclaim_budget.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidate.h"
+#include "clementineloom/workload/detail/team_usage_table.h"
 #include "clementineloom/workload/preemption.h"
 #include "clementineloom/workload/room_claim.h"
 
@@ -23,8 +24,10 @@
 /// Thread safety: none.
 class UrgentClaims {
  public:
-  /// @param request, rooms and guarantees have to outlive it; guarantees with all steps admitted
-  UrgentClaims(const PlanRequest& request, RoomTable& rooms, const GuaranteeTable& guarantees);
+  /// @param request, rooms, guarantees and usage have to outlive it; guarantees with all steps
+  /// admitted
+  UrgentClaims(const PlanRequest& request, RoomTable& rooms, const GuaranteeTable& guarantees,
+               const TeamUsageTable& usage);
 
   /// @brief Keeps the room that the last plan claimed for a step from all other steps.
   void Hold(const StartCandidate& step);
@@ -87,6 +90,7 @@
   const PlanRequest& request_;
   RoomTable& rooms_;
   const GuaranteeTable& guarantees_;
+  const TeamUsageTable& usage_;
   ReclaimBudget budget_;
   std::vector<Preemption> preemptions_;
   std::vector<RoomClaim> claims_;
--- a/include/clementineloom/workload/detail/victim_search.h
+++ b/include/clementineloom/workload/detail/victim_search.h
@@ -7,6 +7,7 @@
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/reclaim_budget.h"
 #include "clementineloom/workload/detail/start_candidate.h"
+#include "clementineloom/workload/detail/team_usage_table.h"
 #include "clementineloom/workload/detail/victim.h"
 #include "clementineloom/workload/detail/victim_set.h"
 #include "clementineloom/workload/detail/worker_room.h"
@@ -15,12 +16,14 @@
 namespace clementineloom::workload::detail {
 
 /// @brief The runs on a worker that may be stopped for an urgent task, the cheapest first: less
-/// urgent ones, and urgent ones as far as a budget of their team's guarantee allows.
+/// urgent ones, and urgent ones as far as a budget of their team's guarantee allows. Where teams
+/// share the fleet by weights, runs of teams above their shares come before those of others.
 ///
 /// The cost of a gang member is that of the whole gang. Service tasks are listed as far as their
 /// budget goes, behind all others. Complexity: O(runs * log(runs)).
 [[nodiscard]] std::vector<Victim> VictimsOn(const PoolWorker& worker, const PlanRequest& request,
                                             const GuaranteeTable& guarantees,
+                                            const TeamUsageTable& usage,
                                             DisruptionBudget& disruptions);
 
 /// @brief The cheapest victims whose end makes room for one more task of a step on a worker; an
--- a/include/clementineloom/workload/job_table.h
+++ b/include/clementineloom/workload/job_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
 
   [[nodiscard]] const std::map<std::string, JobEntry, std::less<>>& jobs() const { return jobs_; }
 
+  /// @brief Number of submissions that were set or removed so far.
+  [[nodiscard]] std::uint64_t submissions_applied() const { return submissions_applied_; }
+
   /// @brief Accepted jobs of a queue of which no task has started. Complexity: linear in jobs.
   [[nodiscard]] std::size_t PendingCount(std::string_view queue) const;
 
@@ -49,6 +53,7 @@
   void DropIfEmpty(const std::string& job);
 
   std::map<std::string, JobEntry, std::less<>> jobs_;
+  std::uint64_t submissions_applied_ = 0;
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -28,7 +28,7 @@
   const std::vector<RoomClaim>& claims;
   SteadyTime now;
   std::int64_t unix_now_ms = 0;
-  /// All teams, with what each is guaranteed for its urgent jobs.
+  /// All teams, with what each is guaranteed for its urgent jobs, its quota and its weight.
   std::span<const TeamAccess> teams = {};
   /// Accelerators to keep free of less urgent work, by service, for urgent work that is about to
   /// arrive.
@@ -36,6 +36,8 @@
   /// Steps of jobs that have had nothing at work for long, in their order. Beside free room they no
   /// longer wait for better room.
   std::span<const StepId> overdue_steps = {};
+  /// Jobs that their teams submitted beyond their rates, in the order of their ids.
+  std::span<const std::string> jobs_beyond_rate = {};
 };
 
 }  // namespace clementineloom::workload
--- a/include/clementineloom/workload/resources.h
+++ b/include/clementineloom/workload/resources.h
@@ -26,6 +26,9 @@
     return {a.cpu_millicores - b.cpu_millicores, a.memory_mb - b.memory_mb,
             a.accelerators - b.accelerators};
   }
+  friend constexpr Resources operator*(const Resources& a, std::int64_t count) {
+    return {a.cpu_millicores * count, a.memory_mb * count, a.accelerators * count};
+  }
   friend auto operator<=>(const Resources&, const Resources&) = default;
 };
 
--- a/include/clementineloom/workload/step_wait.h
+++ b/include/clementineloom/workload/step_wait.h
@@ -43,6 +43,10 @@
   WorkerCounts workers;
   /// Urgent tasks for which room is kept.
   std::size_t claims = 0;
+  /// Its team, what the team's runs hold, and its quota; only where teams have limits.
+  std::string team;
+  Resources team_held;
+  Resources team_quota;
   /// Accelerators that urgent work of the service is expected to need.
   std::int64_t urgent_forecast = 0;
 
--- a/include/clementineloom/workload/wait_reason.h
+++ b/include/clementineloom/workload/wait_reason.h
@@ -8,6 +8,8 @@
 enum class WaitReason : std::uint8_t {
   /// Runs of its own tasks hold room; their outcome is not known yet, or they are being stopped.
   kHeldRuns,
+  /// The quota of its team admits no more: not a task of it, or not all of a gang.
+  kQuota,
   /// Workers that take runs have too little room.
   kRoom,
   /// The workers with room are not approved by the advice service, or not yet.
--- a/src/entry/caller/caller_answers.h
+++ b/src/entry/caller/caller_answers.h
@@ -11,6 +11,7 @@
 #include "entry/caller/caller_hooks.h"
 #include "entry/caller/caller_log.h"
 #include "entry/caller/caller_target.h"
+#include "entry/caller/limit_refusal.h"
 #include "entry/metric_specs.h"
 #include "entry/port/call_port.h"
 #include "metrics/metric_registry.h"
@@ -66,13 +67,18 @@
   /// reach another instance. Precondition: the request has not been answered.
   void RefuseForNow(net::ExchangeId exchange, const Refusal& refusal) {
     NoteRefusal(exchange, refusal);
-    net::HttpResponse response = net::RefusalResponse(refusal);
-    response.headers =
-        response.headers.With("Retry-After", std::to_string(kRetryAfterOutage.count()));
+    net::HttpResponse response = RefusalUntil(refusal, kRetryAfterOutage);
     response.closes_connection = true;
     Answer(exchange, std::move(response));
   }
 
+  /// @brief Refuses a submission by the limits of its team, which are the same at all instances.
+  /// Precondition: the request has not been answered.
+  void RefuseByLimit(net::ExchangeId exchange, const LimitRefusal& limit) {
+    NoteRefusal(exchange, limit.refusal);
+    Answer(exchange, RefusalUntil(limit.refusal, limit.retry_after));
+  }
+
   /// @brief Refuses a request for now if none of its attempts may have run; otherwise answers that
   /// its outcome is unknown. Precondition: it has not been answered.
   void RefuseAfter(const AttemptHistory& attempts, net::ExchangeId exchange,
@@ -91,6 +97,12 @@
   static constexpr std::chrono::seconds kRetryAfterOutage{1};
   static constexpr int kNoSuchJob = 410;
 
+  static net::HttpResponse RefusalUntil(const Refusal& refusal, std::chrono::seconds retry_after) {
+    net::HttpResponse response = net::RefusalResponse(refusal);
+    response.headers = response.headers.With("Retry-After", std::to_string(retry_after.count()));
+    return response;
+  }
+
   void NoteRefusal(net::ExchangeId exchange, const Refusal& refusal) {
     metrics_.Count(kRefusals.name, kRefusals.label, ResultCodeName(refusal.code));
     log_.Refused(TargetOf(exchange), refusal);
--- a/src/entry/caller/caller_front.h
+++ b/src/entry/caller/caller_front.h
@@ -49,7 +49,7 @@
         admission_(operators, log_, answers_),
         queries_(jobs, view_, log_, answers_, fallback_),
         recorder_(port, jobs, appender, peers, view_, hooks_, log_, answers_, fallback_, metrics),
-        changes_(port, jobs, log_, answers_, recorder_) {}
+        changes_(port, jobs, hooks_, log_, answers_, recorder_) {}
   CallerFront(const CallerFront&) = delete;
   CallerFront& operator=(const CallerFront&) = delete;
 
--- a/src/entry/caller/caller_hooks.h
+++ b/src/entry/caller/caller_hooks.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 
+#include "clementineloom/workload/job_submission.h"
 #include "clementineloom/workload/steady_time.h"
+#include "entry/caller/limit_refusal.h"
 #include "entry/caller/view_details.h"
 #include "entry/jobs/job_removal.h"
 #include "net/http_response.h"
@@ -25,6 +27,8 @@
   std::function<std::optional<workload::SteadyTime>()> jobs_known_until;
   /// Whether the store is believed to be reachable.
   std::function<bool()> has_store;
+  /// The refusal of a submission by the limits of its team; empty if it may be stored.
+  std::function<std::optional<LimitRefusal>(const workload::JobSubmission&)> limit_refusal;
   /// The instance that owns the workers; empty if it is this one or not known.
   std::function<std::string()> owner;
   /// What the view of the jobs rests on, and why it lacks a job it once had; both for the log.
--- a/src/entry/caller/job_changes.h
+++ b/src/entry/caller/job_changes.h
@@ -11,6 +11,7 @@
 #include "codec/workload_record_codec.h"
 #include "entry/caller/admitted_call.h"
 #include "entry/caller/caller_answers.h"
+#include "entry/caller/caller_hooks.h"
 #include "entry/caller/caller_log.h"
 #include "entry/caller/job_recorder.h"
 #include "entry/port/call_port.h"
@@ -24,9 +25,15 @@
 class JobChanges {
  public:
   /// Precondition: the references outlive the changes.
-  JobChanges(Port& port, const workload::JobTable& jobs, const CallerLog<Port>& log,
-             CallerAnswers<Port>& answers, JobRecorder<Platform, Port>& recorder)
-      : port_(port), jobs_(jobs), log_(log), answers_(answers), recorder_(recorder) {}
+  JobChanges(Port& port, const workload::JobTable& jobs, const CallerHooks& hooks,
+             const CallerLog<Port>& log, CallerAnswers<Port>& answers,
+             JobRecorder<Platform, Port>& recorder)
+      : port_(port),
+        jobs_(jobs),
+        hooks_(hooks),
+        log_(log),
+        answers_(answers),
+        recorder_(recorder) {}
 
   /// @brief Records a job, and answers once the outcome is known.
   /// Precondition: the call names a well-formed job id, and the request has not been answered.
@@ -46,6 +53,10 @@
     submission->queue = call.queue;
     submission->team = call.team;
     submission->accepted_at_ms = port_.UnixNowMs();
+    if (const auto refusal = hooks_.limit_refusal(*submission)) {
+      answers_.RefuseByLimit(request.id, *refusal);
+      return;
+    }
     const workload::SubmissionSet record{call.job, std::move(*submission)};
     if (!FitsStore(record)) {
       answers_.Refuse(request.id, {ResultCode::kRequestTooLarge, RunState::kDidNotRun,
@@ -84,6 +95,7 @@
 
   Port& port_;
   const workload::JobTable& jobs_;
+  const CallerHooks& hooks_;
   const CallerLog<Port>& log_;
   CallerAnswers<Port>& answers_;
   JobRecorder<Platform, Port>& recorder_;
--- a/src/entry/caller/job_recorder.h
+++ b/src/entry/caller/job_recorder.h
@@ -159,6 +159,11 @@
     if (it == waiting_.end()) {
       return;
     }
+    if (IsRefusedByLimit(outcome) && it->second.history.MayBeRefused()) {
+      waiting_.erase(it);
+      answers_.AnswerFromPeer(request.id, std::move(*outcome.answer));
+      return;
+    }
     if (!outcome.is_success()) {
       if (AwaitsOwner(request.id)) {
         RecordInPlaceOfOwner(request, record, outcome.history);
@@ -172,6 +177,14 @@
     answers_.Answer(request.id, std::move(*outcome.answer));
   }
 
+  // Whether the owner refused a submission by the limits of its team, so that it must not be stored
+  // by anybody.
+  static bool IsRefusedByLimit(const PeerOutcome& outcome) {
+    constexpr int kTooManyRequests = 429;
+    return outcome.answer && outcome.answer->status == kTooManyRequests &&
+           outcome.history.MayBeRefused();
+  }
+
   // Precondition: the request is in waiting_.
   void RecordHere(const net::ServerRequest& request, const workload::WorkloadRecord& record) {
     if (!PeerRouter<Port>::IsForwarded(request.request)) {
--- a/src/entry/election/ownership.h
+++ b/src/entry/election/ownership.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/rate_refusal.h"
 #include "clementineloom/workload/recent_starts.h"
 #include "clementineloom/workload/steady_time.h"
 #include "clementineloom/workload/worker_info.h"
@@ -80,6 +82,13 @@
     });
   }
 
+  /// @brief The refusal of a submission beyond its team's rate; nothing from an instance that does
+  /// not own the workers.
+  [[nodiscard]] std::optional<workload::RateRefusal> RateRefusalOf(
+      const workload::JobSubmission& submission, const workload::TeamAccess& team) const {
+    return is_held() ? owner_->RateRefusalOf(submission, team) : std::nullopt;
+  }
+
   /// @brief Tells the owner, if there is one, that submissions or cancellations were applied.
   void OnJobsChanged() {
     if (is_held()) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -14,6 +14,7 @@
 #include "clementineloom/workload/recent_starts.h"
 #include "entry/caller/caller_front.h"
 #include "entry/caller/peer_router.h"
+#include "entry/caller/submission_limits.h"
 #include "entry/election/owner_options_of.h"
 #include "entry/election/ownership.h"
 #include "entry/election/ownership_claims.h"
@@ -65,10 +66,12 @@
         announcement_(port, appender_, {settings_.instance, settings_.listen, Millicores()}),
         peers_(port, settings_.instance),
         ownership_(port, jobs_topic_, jobs_, recent_starts_, job_events_, operators_, metrics),
+        limits_(operators_, ownership_),
         front_(port, jobs_, operators_, appender_, peers_, metrics,
                {hooks_.answer, [this] { ownership_.OnJobsChanged(); },
                 [this] { return jobs_follower_.last_read_at(); },
                 [this] { return JobsKnownUntil(); }, [this] { return has_store_; },
+                [this](const auto& submission) { return limits_.Check(submission); },
                 [this] { return claims_.OtherOwner(); }, [this] { return DetailsOfView(); },
                 [this](const std::string& job) { return removed_jobs_.Find(job); }}) {}
 
@@ -354,6 +357,7 @@
   InstanceAnnouncement<Platform, Port> announcement_;
   PeerRouter<Port> peers_;
   Ownership<Platform, Port> ownership_;
+  const SubmissionLimits<Platform, Port> limits_;
   CallerFront<Platform, Port> front_;
   bool has_store_ = false;
   bool is_stopping_ = false;
--- a/src/entry/metric_specs.h
+++ b/src/entry/metric_specs.h
@@ -62,13 +62,41 @@
 inline constexpr MetricSpec kFreeAccelerators{"loom_entry_free_accelerators", "gauge", "",
                                               "accelerators free on these workers (owner)"};
 
+inline constexpr MetricSpec kTeamWeight{"loom_entry_team_weight", "gauge", "team",
+                                        "weight of a team with limits; 0 without one (owner)"};
+inline constexpr MetricSpec kTeamAccelerators{"loom_entry_team_accelerators", "gauge", "team",
+                                              "accelerators that the runs of a team hold (owner)"};
+inline constexpr MetricSpec kTeamQuotaAccelerators{
+    "loom_entry_team_quota_accelerators", "gauge", "team",
+    "accelerators that they may hold; 0 without a limit (owner)"};
+inline constexpr MetricSpec kTeamCores{"loom_entry_team_cores", "gauge", "team",
+                                       "cores that the runs of a team hold (owner)"};
+inline constexpr MetricSpec kTeamQuotaCores{"loom_entry_team_quota_cores", "gauge", "team",
+                                            "cores that they may hold; 0 without a limit (owner)"};
+inline constexpr MetricSpec kTeamMemory{"loom_entry_team_memory_mb", "gauge", "team",
+                                        "memory that the runs of a team hold (owner)"};
+inline constexpr MetricSpec kTeamQuotaMemory{
+    "loom_entry_team_quota_memory_mb", "gauge", "team",
+    "memory that they may hold; 0 without a limit (owner)"};
+inline constexpr MetricSpec kTeamWaitingJobs{"loom_entry_team_waiting_jobs", "gauge", "team",
+                                             "open jobs of a team without a start (owner)"};
+
 /// @brief All metrics of the entry daemon, in the order of docs/metrics.md.
-inline constexpr std::array kMetricSpecs{
-    kRefusals,      kRequestsRead,  kRequestsEnded,    kJobsAccepted,
-    kJobsCancelled, kRecordSeconds, kStartWaitSeconds, kJobSeconds,
-    kJobsEnded,     kRunsStarted,   kRunsEnded,        kRunsStopped,
-    kAppendSeconds, kPlanSeconds,   kTakeovers,        kHandOvers,
-    kIsOwner,       kOwnerEpoch,    kViewAgeSeconds,   kConfigVersion,
-    kWorkers,       kRuns,          kFreeAccelerators};
+inline constexpr std::array kMetricSpecs{kRefusals,         kRequestsRead,
+                                         kRequestsEnded,    kJobsAccepted,
+                                         kJobsCancelled,    kRecordSeconds,
+                                         kStartWaitSeconds, kJobSeconds,
+                                         kJobsEnded,        kRunsStarted,
+                                         kRunsEnded,        kRunsStopped,
+                                         kAppendSeconds,    kPlanSeconds,
+                                         kTakeovers,        kHandOvers,
+                                         kIsOwner,          kOwnerEpoch,
+                                         kViewAgeSeconds,   kConfigVersion,
+                                         kWorkers,          kRuns,
+                                         kFreeAccelerators, kTeamWeight,
+                                         kTeamAccelerators, kTeamQuotaAccelerators,
+                                         kTeamCores,        kTeamQuotaCores,
+                                         kTeamMemory,       kTeamQuotaMemory,
+                                         kTeamWaitingJobs};
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -12,10 +12,13 @@
 #include <utility>
 #include <vector>
 
+#include "clementineloom/workload/expected_wait.h"
 #include "clementineloom/workload/owner_contact.h"
 #include "clementineloom/workload/owner_election.h"
 #include "clementineloom/workload/owner_hand_over.h"
+#include "clementineloom/workload/rate_refusal.h"
 #include "clementineloom/workload/recent_starts.h"
+#include "clementineloom/workload/submission_rate.h"
 #include "entry/jobs/last_job_events.h"
 #include "entry/owner/drain_moves.h"
 #include "entry/owner/fill_pacing.h"
@@ -28,6 +31,7 @@
 #include "entry/owner/run_starts.h"
 #include "entry/owner/run_stops.h"
 #include "entry/owner/task_placement.h"
+#include "entry/owner/team_gauges.h"
 #include "entry/owner/worker_poller.h"
 
 namespace clementineloom::entry {
@@ -63,6 +67,7 @@
         poller_(core_, starts_, stops_, ends_, late_starts_, pacing_, withholding_),
         placement_(core_, starts_, stops_, job_events),
         drain_moves_(core_, stops_),
+        team_gauges_(core_),
         recent_starts_(recent_starts),
         on_hand_over_(std::move(hooks.on_hand_over)),
         has_peers_(std::move(hooks.has_peers)),
@@ -73,6 +78,7 @@
 
   /// @brief Adopts the recorded runs. Call once, before the first OnWorker.
   void Start() {
+    placement_.BoundAcceptance();
     AdoptRuns();
     DropTasksOfEndedJobs();
     withholding_.RecordInherited();
@@ -112,12 +118,28 @@
 
   /// @brief Handles new submissions and cancellations.
   void OnJobsChanged() {
+    placement_.BoundAcceptance();
     StopCancelled();
     placement_.SchedulePlan();
   }
 
   /// @brief Handles a change of the configuration or of the evacuated data centres.
-  void OnOperatorsChanged() { placement_.SchedulePlan(); }
+  void OnOperatorsChanged() {
+    core_.configured_at = core_.port.Now();
+    placement_.SchedulePlan();
+  }
+
+  /// @brief The refusal of a submission that is beyond its team's rate and would begin too late, or
+  /// nothing. A job within its team's guarantee is not refused.
+  [[nodiscard]] std::optional<workload::RateRefusal> RateRefusalOf(
+      const workload::JobSubmission& submission, const workload::TeamAccess& team) const {
+    if (workload::IsWithinRate(core_.jobs, team, submission.accepted_at_ms) ||
+        workload::IsWithinGuarantee(core_.jobs, team, submission)) {
+      return std::nullopt;
+    }
+    return workload::RateRefusal::Of(submission,
+                                     workload::ExpectedWait(core_.jobs, core_.workers, submission));
+  }
 
   /// @brief Gives up ownership once all earlier decisions are recorded; done runs afterwards.
   void Resign(std::function<void()> done) {
@@ -229,6 +251,7 @@
     drain_moves_.Check(kTickInterval);
     RemoveExpiredJobs(now);
     UpdatePoolMetrics(now);
+    team_gauges_.Update(now);
     placement_.CheckWaits();
     placement_.SchedulePlan();
     core_.port.After(kTickInterval, core_.Guard([this] { Tick(); }));
@@ -438,6 +461,7 @@
   WorkerPoller<Platform, Port> poller_;
   TaskPlacement<Platform, Port> placement_;
   DrainMoves<Platform, Port> drain_moves_;
+  TeamGauges<Platform, Port> team_gauges_;
   const workload::RecentStarts& recent_starts_;
   const std::function<void()> on_hand_over_;
   const std::function<bool()> has_peers_;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -14,6 +14,7 @@
 
 #include "clementineloom/workload/advice_cache.h"
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/team_quota.h"
 #include "clementineloom/workload/worker_pool.h"
 #include "clementineloom/workload/worker_silence.h"
 #include "entry/metric_specs.h"
@@ -52,6 +53,7 @@
         lease_ends(options.lease_ends),
         confirmed_at(call_port.Now()),
         suspension(call_port.Now()),
+        configured_at(call_port.Now()),
         appender_(std::move(appender)),
         on_lost_(std::move(on_lost)) {}
 
@@ -131,6 +133,15 @@
            job->MayRunOn(it->second.info, task.step.step);
   }
 
+  /// @brief Whether the runs of a task's team hold more than the team's quota, as they may once the
+  /// quota has fallen.
+  [[nodiscard]] bool IsOverQuota(const workload::TaskId& task) const {
+    const workload::JobEntry* job = jobs.Find(task.step.job);
+    const auto& config = operators.config();
+    return job != nullptr && job->submission && config &&
+           workload::IsOverQuota(jobs, workers, config->teams, job->submission->team);
+  }
+
   /// @brief Whether a worker's data centre is evacuated.
   [[nodiscard]] bool IsEvacuated(const workload::PoolWorker& worker) const {
     return operators.evacuated().contains(worker.info.data_centre);
@@ -208,6 +219,8 @@
   /// Latest time at which the epoch is known to have been the newest at the store.
   workload::SteadyTime confirmed_at;
   SuspensionWatch suspension;
+  /// When this owner has last read a change of the configuration, or took over.
+  workload::SteadyTime configured_at;
   /// Polls a worker for its lists, and schedules a plan. Set by the owner before anything runs.
   std::function<void(const std::string&)> poll_worker;
   std::function<void()> schedule_plan;
--- a/src/entry/owner/run_starts.h
+++ b/src/entry/owner/run_starts.h
@@ -48,6 +48,10 @@
       CancelStart(start, "the worker takes no new runs");
       return;
     }
+    if (HasQuotaFallen(start)) {
+      CancelStart(start, "the quota of its team has fallen");
+      return;
+    }
     const auto ticket = TicketFor(start);
     if (!ticket) {
       CancelStart(start, "the ticket has expired");
@@ -96,7 +100,7 @@
   /// stored again first, so that a successor knows of the order. Precondition:
   /// IsKeptForFormerOrder.
   void OrderAgain(const std::string& worker, const workload::TaskRun& run) {
-    if (!core_.MayStartOn(worker, run.task)) {
+    if (!core_.MayStartOn(worker, run.task) || core_.IsOverQuota(run.task)) {
       return;
     }
     workload::PlacedRun& placed = *core_.FindRun(worker, run);
@@ -155,6 +159,14 @@
     return may_be_there ? std::optional(start.ticket) : std::nullopt;
   }
 
+  // Whether a start that was never sent was planned under an earlier configuration, and its team
+  // holds more than its quota now.
+  [[nodiscard]] bool HasQuotaFallen(const workload::PlannedStart& start) const {
+    const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
+    return run != nullptr && !run->start_copies.MayArrive() &&
+           run->placed_at <= core_.configured_at && core_.IsOverQuota(start.run.run.task);
+  }
+
   // Whether the worker of a start has restarted with a capacity that its runs exceed.
   [[nodiscard]] bool IsTooLargeAfterRestart(const workload::PlannedStart& start) const {
     const workload::PlacedRun* run = core_.FindRun(start.worker, start.run.run);
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "clementineloom/workload/future_acceptance.h"
 #include "clementineloom/workload/step_waits.h"
+#include "clementineloom/workload/submission_rate.h"
 #include "clementineloom/workload/task_planner.h"
 #include "clementineloom/workload/urgent_demand.h"
 #include "clementineloom/workload/wait_times.h"
@@ -65,6 +67,7 @@
       return;
     }
     waits_checked_at_ = now;
+    BoundAcceptance();
     const std::vector<workload::StepId> waiting =
         workload::WaitingSteps(RequestOf(), SilentWorkers());
     wait_times_.Note(now, waiting);
@@ -74,6 +77,16 @@
     job_waits_.Check(request, waiting, MayPlace());
   }
 
+  /// @brief Bounds the times at which jobs count as accepted by this instance's clock. To be called
+  /// when submissions were applied; the clock itself is looked at with the waits.
+  void BoundAcceptance() {
+    // Only in this owner's table: a successor bounds the times by its own clock.
+    for (const workload::SubmissionSet& it :
+         workload::AcceptedInTheFuture(core_.jobs, core_.port.UnixNowMs())) {
+      core_.jobs.Apply(it);
+    }
+  }
+
  private:
   using Records = typename OwnerCore<Platform, Port>::Records;
 
@@ -102,7 +115,7 @@
     if (!MayPlace()) {
       return;
     }
-    BoundAcceptance();
+    RankSubmissions();
     const workload::PlanRequest request = RequestOf();
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
@@ -121,18 +134,27 @@
 
   [[nodiscard]] bool MayPlace() const { return !core_.is_resigning && core_.HasCurrentView(); }
 
-  // Only in this owner's table: a successor bounds the times by its own clock.
-  void BoundAcceptance() {
-    for (const workload::SubmissionSet& it :
-         workload::AcceptedInTheFuture(core_.jobs, core_.port.UnixNowMs())) {
-      core_.jobs.Apply(it);
-    }
+  workload::PlanRequest RequestOf() const {
+    return {core_.jobs,
+            core_.workers,
+            core_.operators.evacuated(),
+            core_.advice,
+            claims_,
+            core_.port.Now(),
+            core_.port.UnixNowMs(),
+            Teams(),
+            UrgentReserve(),
+            overdue_steps_,
+            jobs_beyond_rate_};
   }
 
-  workload::PlanRequest RequestOf() const {
-    return {core_.jobs,      core_.workers,    core_.operators.evacuated(), core_.advice,
-            claims_,         core_.port.Now(), core_.port.UnixNowMs(),      Teams(),
-            UrgentReserve(), overdue_steps_};
+  // The ranks follow from the submissions and the teams' rates, and change with them only.
+  void RankSubmissions() {
+    const auto& config = core_.operators.config();
+    const std::pair inputs{core_.jobs.submissions_applied(), config ? config->version : 0};
+    if (std::exchange(ranked_inputs_, inputs) != inputs) {
+      jobs_beyond_rate_ = workload::JobsBeyondRate(core_.jobs, Teams());
+    }
   }
 
   workload::AcceleratorsByService UrgentReserve() const {
@@ -280,6 +302,10 @@
   workload::WaitTimes wait_times_;
   // Steps that have waited for long at the last check.
   std::vector<workload::StepId> overdue_steps_;
+  // Jobs that their teams submitted beyond their rates, and the number of submissions and the
+  // version of the configuration that they follow from.
+  std::vector<std::string> jobs_beyond_rate_;
+  std::optional<std::pair<std::uint64_t, std::uint64_t>> ranked_inputs_;
   StepWaitLog step_waits_;
   JobWaitLog job_waits_;
   workload::SteadyTime waits_checked_at_;
--- a/src/entry/owner/wait_reason_name.h
+++ b/src/entry/owner/wait_reason_name.h
@@ -12,6 +12,8 @@
   switch (reason) {
     case workload::WaitReason::kHeldRuns:
       return "held_runs";
+    case workload::WaitReason::kQuota:
+      return "quota";
     case workload::WaitReason::kRoom:
       return "room";
     case workload::WaitReason::kAdvice:
--- a/src/metrics/metric_registry.cc
+++ b/src/metrics/metric_registry.cc
@@ -29,11 +29,40 @@
 
 using SeriesName = std::pair<std::string, std::string>;
 
+// As the exposition format asks for values with quotes, backslashes and line breaks.
+std::string Escaped(std::string_view value) {
+  std::string escaped;
+  for (const char it : value) {
+    if (it == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (it == '"' || it == '\\') {
+      escaped += '\\';
+    }
+    escaped += it;
+  }
+  return escaped;
+}
+
 std::string LabelText(std::string_view label, std::string_view value) {
   if (label.empty()) {
     return {};
   }
-  return "{" + std::string(label) + "=\"" + std::string(value) + "\"}";
+  return "{" + std::string(label) + "=\"" + Escaped(value) + "\"}";
+}
+
+// Writes the series of one kind of metric in the order of their names.
+template <class Series>
+void WriteSeries(std::ostream& out, const Series& all, std::string_view type) {
+  std::string_view last;
+  for (const auto& [series, number] : all) {
+    if (series.first != last) {
+      out << "# TYPE " << series.first << ' ' << type << '\n';
+      last = series.first;
+    }
+    out << series.first << series.second << ' ' << number << '\n';
+  }
 }
 
 void WriteHistogram(std::ostream& out, const std::string& name, const LatencyHistogram& histogram) {
@@ -60,9 +89,9 @@
     counters_[SeriesName(name, std::move(label))] += amount;
   }
 
-  void Set(std::string_view name, double number) {
+  void Set(std::string_view name, std::string label, double number) {
     const std::scoped_lock lock(mutex_);
-    gauges_[std::string(name)] = number;
+    gauges_[SeriesName(name, std::move(label))] = number;
   }
 
   void Observe(std::string_view name, double seconds) {
@@ -76,17 +105,8 @@
   std::string Expose() const {
     const std::scoped_lock lock(mutex_);
     std::ostringstream out;
-    std::string_view last;
-    for (const auto& [series, number] : counters_) {
-      if (series.first != last) {
-        out << "# TYPE " << series.first << " counter\n";
-        last = series.first;
-      }
-      out << series.first << series.second << ' ' << number << '\n';
-    }
-    for (const auto& [name, number] : gauges_) {
-      out << "# TYPE " << name << " gauge\n" << name << ' ' << number << '\n';
-    }
+    WriteSeries(out, counters_, "counter");
+    WriteSeries(out, gauges_, "gauge");
     for (const auto& [name, histogram] : histograms_) {
       WriteHistogram(out, name, histogram);
     }
@@ -96,7 +116,7 @@
  private:
   mutable std::mutex mutex_;
   std::map<SeriesName, std::uint64_t> counters_;
-  std::map<std::string, double> gauges_;
+  std::map<SeriesName, double> gauges_;
   std::map<std::string, LatencyHistogram> histograms_;
 };
 
@@ -108,7 +128,10 @@
   impl_->Count(name, LabelText(label, value), amount);
 }
 
-void MetricRegistry::Set(std::string_view name, double number) { impl_->Set(name, number); }
+void MetricRegistry::Set(std::string_view name, double number, std::string_view label,
+                         std::string_view value) {
+  impl_->Set(name, LabelText(label, value), number);
+}
 
 void MetricRegistry::Observe(std::string_view name, std::chrono::nanoseconds latency) {
   impl_->Observe(name, std::chrono::duration<double>(latency).count());
--- a/src/metrics/metric_registry.h
+++ b/src/metrics/metric_registry.h
@@ -25,7 +25,8 @@
              std::uint64_t amount = 1);
 
   /// @brief Sets a gauge.
-  void Set(std::string_view name, double number);
+  void Set(std::string_view name, double number, std::string_view label = {},
+           std::string_view value = {});
 
   /// @brief Records a latency in a histogram with buckets from 50 microseconds to 100 seconds.
   void Observe(std::string_view name, std::chrono::nanoseconds latency);
--- a/src/net/refusal_response.cc
+++ b/src/net/refusal_response.cc
@@ -41,6 +41,8 @@
     case ResultCode::kJobNeverFits:
       return 422;
     case ResultCode::kTeamLimitReached:
+    case ResultCode::kQuotaExceeded:
+    case ResultCode::kRateExceeded:
       return 429;
     case ResultCode::kUpstreamFailed:
     case ResultCode::kOutcomeUnknown:
--- a/src/workload/detail/rack_fit.cc
+++ b/src/workload/detail/rack_fit.cc
@@ -33,6 +33,11 @@
   });
 }
 
+bool CanFleetHold(const StartCandidate& step, const RoomTable& rooms) {
+  return AreEnough(step, rooms.On({}),
+                   [&](const WorkerRoom& it) { return CountInEmpty(it, step); });
+}
+
 bool CanAnyRackHold(const StartCandidate& step, const RoomTable& rooms) {
   return std::any_of(rooms.racks().begin(), rooms.racks().end(), [&](const auto& rack) {
     return AreEnough(step, rack.second.rooms,
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -131,13 +131,13 @@
   Count(room);
 }
 
-void RoomTable::ListVictims(const GuaranteeTable& guarantees) {
+void RoomTable::ListVictims(const GuaranteeTable& guarantees, const TeamUsageTable& usage) {
   if (std::exchange(has_victims_, true)) {
     return;
   }
   DisruptionBudget disruptions(request_);
   for (WorkerRoom& room : rooms_) {
-    for (const Victim& it : VictimsOn(*room.worker, request_, guarantees, disruptions)) {
+    for (const Victim& it : VictimsOn(*room.worker, request_, guarantees, usage, disruptions)) {
       room.AddVictim(it);
       if (it.is_gang_member) {
         gangs_[{it.run->run.task.step, it.run->run.run}].emplace_back(&room, it.run);
--- a/src/workload/detail/standing_of.cc
+++ b/src/workload/detail/standing_of.cc
@@ -10,12 +10,6 @@
 // A result is of use to its caller up to this multiple of the objective.
 constexpr std::int64_t kUsefulObjectives = 3;
 
-std::int64_t ObjectiveMs(const JobSubmission& submission) {
-  const auto path_ms = static_cast<double>(CriticalPathMs(submission.steps));
-  return static_cast<std::int64_t>(submission.queue.stretch * path_ms) +
-         submission.queue.target_latency_ms;
-}
-
 // Whether the job runs until it is cancelled, so that it has no end that could be late.
 bool RunsUntilCancelled(const JobSubmission& submission) {
   return std::any_of(submission.steps.begin(), submission.steps.end(),
@@ -24,6 +18,12 @@
 
 }  // namespace
 
+std::int64_t ObjectiveMs(const JobSubmission& submission) {
+  const auto path_ms = static_cast<double>(CriticalPathMs(submission.steps));
+  return static_cast<std::int64_t>(submission.queue.stretch * path_ms) +
+         submission.queue.target_latency_ms;
+}
+
 ObjectiveStanding StandingOf(const StartCandidate& step, std::int64_t unix_now_ms) {
   const JobSubmission& submission = *step.job->submission;
   if (RunsUntilCancelled(submission)) {
--- a/src/workload/detail/urgent_claims.cc
+++ b/src/workload/detail/urgent_claims.cc
@@ -25,8 +25,12 @@
 }  // namespace
 
 UrgentClaims::UrgentClaims(const PlanRequest& request, RoomTable& rooms,
-                           const GuaranteeTable& guarantees)
-    : request_(request), rooms_(rooms), guarantees_(guarantees), budget_(guarantees.shares()) {
+                           const GuaranteeTable& guarantees, const TeamUsageTable& usage)
+    : request_(request),
+      rooms_(rooms),
+      guarantees_(guarantees),
+      usage_(usage),
+      budget_(guarantees.shares()) {
   for (const RoomClaim& it : request.claims) {
     if (WorkerRoom* room = rooms.Find(it.worker)) {
       previous_rooms_.emplace(it.task, room);
@@ -62,7 +66,7 @@
 }
 
 void UrgentClaims::MakeRoom(const StartCandidate& step, std::size_t placed, bool keeps_to_rack) {
-  rooms_.ListVictims(guarantees_);
+  rooms_.ListVictims(guarantees_, usage_);
   // Room that is being cleared on several racks is kept even if one rack would now suffice: the
   // work of the runs stopped there is lost already.
   if (step.spec().prefers_one_rack && !WasOnSeveralRacks(step) &&
--- a/src/workload/detail/victim_search.cc
+++ b/src/workload/detail/victim_search.cc
@@ -39,12 +39,21 @@
   return LostTime(run, spec, now).count() * std::max<std::int64_t>(cores * members, 1) * starts;
 }
 
+StopCost CostOfOtherWork(std::int64_t lost, const JobEntry& job, const StepSpec& spec,
+                         const TeamUsageTable& usage) {
+  const auto team = usage.has_weights() ? usage.TeamOf(job) : std::nullopt;
+  // Service tasks stay behind the batch runs of all teams.
+  const bool is_within_share = team && (spec.runs_until_cancelled || !usage.IsAboveShare(*team));
+  return {0, 0, is_within_share ? lost : 0, lost};
+}
+
 // The run as a victim, or nothing if it may not be stopped at all.
 std::optional<Victim> VictimOf(const PlacedRun& run, const JobEntry& job, const StepSpec& spec,
-                               const PlanRequest& request, const GuaranteeTable& guarantees) {
+                               const PlanRequest& request, const GuaranteeTable& guarantees,
+                               const TeamUsageTable& usage) {
   const std::int64_t lost = LostWork(run, spec, request.now);
   if (run.priority > kPreemptingPriority) {
-    return Victim{&run, {0, 0, lost}, spec.is_gang, {}, 0};
+    return Victim{&run, CostOfOtherWork(lost, job, spec, usage), spec.is_gang, {}, 0};
   }
   const auto team = guarantees.TeamOf(job);
   if (!team || !guarantees.shares()[*team].MayLoseRunAfter(0)) {
@@ -53,7 +62,7 @@
   const std::int64_t accelerators =
       spec.per_task.accelerators * (spec.is_gang ? spec.task_count : 1);
   const std::int64_t guaranteed = guarantees.shares()[*team].GuaranteedPartOf(accelerators);
-  return Victim{&run, {guaranteed, lost, 0}, spec.is_gang, team, accelerators};
+  return Victim{&run, {guaranteed, lost, 0, 0}, spec.is_gang, team, accelerators};
 }
 
 // Drops runs whose room is not needed after all, the most expensive first.
@@ -71,7 +80,8 @@
 }  // namespace
 
 std::vector<Victim> VictimsOn(const PoolWorker& worker, const PlanRequest& request,
-                              const GuaranteeTable& guarantees, DisruptionBudget& disruptions) {
+                              const GuaranteeTable& guarantees, const TeamUsageTable& usage,
+                              DisruptionBudget& disruptions) {
   std::vector<Victim> victims;
   for (const auto& [id, run] : worker.runs) {
     if (run.stage == RunStage::kStopping || EndsSoon(run, request.now)) {
@@ -82,7 +92,7 @@
     if (spec == nullptr) {
       continue;
     }
-    const auto victim = VictimOf(run, *job, *spec, request, guarantees);
+    const auto victim = VictimOf(run, *job, *spec, request, guarantees, usage);
     if (victim && (!spec->runs_until_cancelled || disruptions.Take(run))) {
       victims.push_back(*victim);
     }
--- a/src/workload/job_table.cc
+++ b/src/workload/job_table.cc
@@ -38,6 +38,7 @@
 }
 
 void JobTable::Set(const SubmissionSet& record) {
+  ++submissions_applied_;
   if (record.submission) {
     jobs_[record.job].submission = record.submission;
   } else if (const auto it = jobs_.find(record.job); it != jobs_.end()) {
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -10,6 +10,7 @@
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
 #include "clementineloom/workload/detail/start_candidates.h"
+#include "clementineloom/workload/detail/team_usage_table.h"
 
 namespace clementineloom::workload {
 namespace {
@@ -145,13 +146,16 @@
 }
 
 WaitReason ReasonOf(const detail::StartCandidate& step, const PlanRequest& request,
-                    const detail::RoomTable& rooms, const StepWait& wait,
-                    const FittingTasks& fitting) {
+                    const detail::RoomTable& rooms, const detail::TeamUsageTable& usage,
+                    const StepWait& wait, const FittingTasks& fitting) {
   const bool is_gang = step.spec().is_gang;
   if (step.task_indexes.empty() || (is_gang && wait.held_tasks > 0)) {
     return WaitReason::kHeldRuns;
   }
   const auto needed = is_gang ? static_cast<std::int64_t>(step.task_indexes.size()) : 1;
+  if (usage.AdmittedTasks(step) < needed) {
+    return WaitReason::kQuota;
+  }
   if (fitting.usable + fitting.reserved + fitting.unapproved < needed) {
     return WaitReason::kRoom;
   }
@@ -170,8 +174,17 @@
   return request.claims.empty() ? WaitReason::kNextPlan : WaitReason::kClaims;
 }
 
+void NoteTeam(const JobEntry& job, const detail::TeamUsageTable& usage, StepWait& wait) {
+  if (const auto team = usage.TeamOf(job)) {
+    wait.team = job.submission->team;
+    wait.team_held = usage.Of(*team).held;
+    wait.team_quota = usage.Of(*team).quota;
+  }
+}
+
 StepWait DescribeWait(const PlanRequest& request, const StepId& step,
-                      const detail::RoomTable& rooms, detail::OverdueRule& overdue_rule) {
+                      const detail::RoomTable& rooms, const detail::TeamUsageTable& usage,
+                      detail::OverdueRule& overdue_rule) {
   const JobEntry& job = *request.jobs.Find(step.job);
   const std::string& service = job.submission->queue.service;
   StepWait wait;
@@ -187,8 +200,9 @@
   if (const auto it = request.urgent_reserve.find(service); it != request.urgent_reserve.end()) {
     wait.urgent_forecast = it->second;
   }
+  NoteTeam(job, usage, wait);
   const FittingTasks fitting = CountWorkers(candidate, request, rooms, wait.workers);
-  wait.reason = ReasonOf(candidate, request, rooms, wait, fitting);
+  wait.reason = ReasonOf(candidate, request, rooms, usage, wait, fitting);
   if (wait.reason == WaitReason::kDataRack || wait.reason == WaitReason::kOneRack) {
     wait.ends_in_ms = detail::RackWaitLeftMs(candidate, request.unix_now_ms);
   }
@@ -215,9 +229,10 @@
     return waits;
   }
   const detail::RoomTable rooms(request);
+  const detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
   detail::OverdueRule overdue_rule(request);
   for (const StepId& it : steps) {
-    waits.push_back(DescribeWait(request, it, rooms, overdue_rule));
+    waits.push_back(DescribeWait(request, it, rooms, usage, overdue_rule));
   }
   return waits;
 }
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -13,12 +13,15 @@
 #include "clementineloom/workload/detail/advice_turn.h"
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/overdue_rule.h"
+#include "clementineloom/workload/detail/quota_gate.h"
 #include "clementineloom/workload/detail/rack_fit.h"
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
 #include "clementineloom/workload/detail/room_table.h"
+#include "clementineloom/workload/detail/share_order.h"
 #include "clementineloom/workload/detail/standing_of.h"
 #include "clementineloom/workload/detail/start_candidates.h"
+#include "clementineloom/workload/detail/team_usage_table.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
 #include "clementineloom/workload/detail/wait_description.h"
 
@@ -38,26 +41,43 @@
 // start.
 constexpr std::int64_t kReclaimAfterMs = 1'000;
 
+// Steps of a lower rank go first.
+std::tuple<std::uint32_t, bool, ObjectiveStanding> RankOf(const StartCandidate& step) {
+  return {step.priority(), step.is_beyond_rate, step.standing};
+}
+
 // One planning pass: the room that is left, and what was decided so far.
 class PlanningPass {
  public:
-  PlanningPass(const PlanRequest& request, const detail::GuaranteeTable& guarantees)
+  PlanningPass(const PlanRequest& request, const detail::GuaranteeTable& guarantees,
+               detail::TeamUsageTable& usage)
       : request_(request),
         guarantees_(guarantees),
+        usage_(usage),
         rooms_(request),
-        claims_(request, rooms_, guarantees),
+        quotas_(usage, rooms_),
+        claims_(request, rooms_, guarantees, usage),
         overdue_rule_(request) {}
 
-  // Places steps of one rank. Keeps what the last plan claimed for the urgent ones among them from
-  // those that are placed before them.
-  void PlaceAll(std::span<const StartCandidate> steps) {
+  // Places steps in the order of their ranks, and those of one rank by the shares of their teams.
+  // Keeps what the last plan claimed for the urgent ones among them from those that are placed
+  // before them.
+  void PlaceAll(std::span<StartCandidate> steps) {
     for (const StartCandidate& it : steps) {
       if (it.priority() == kPreemptingPriority) {
         claims_.Hold(it);
       }
     }
-    for (const StartCandidate& it : steps) {
-      Place(it);
+    for (auto rest = steps; !rest.empty();) {
+      const auto end = std::find_if(rest.begin(), rest.end(), [&](const StartCandidate& it) {
+        return RankOf(it) != RankOf(rest.front());
+      });
+      const auto count = static_cast<std::size_t>(end - rest.begin());
+      detail::ShareOrder order(rest.first(count), usage_);
+      while (StartCandidate* step = order.Next()) {
+        Place(*step);
+      }
+      rest = rest.subspan(count);
     }
   }
 
@@ -69,19 +89,27 @@
   }
 
  private:
-  void Place(const StartCandidate& step) {
+  // Leaves in the step the tasks that the quota of its team admits.
+  void Place(StartCandidate& step) {
     if (step.priority() == kPreemptingPriority) {
       claims_.Release(step);
     }
+    if (!quotas_.Admit(step)) {
+      return;
+    }
     const std::size_t before = plan_.starts.size();
     PlaceWhole(step);
     if (plan_.starts.size() == before) {
       PlaceIfOverdue(step);
     }
-    const bool is_whole = plan_.starts.size() - before == step.task_indexes.size();
-    if (!is_whole && MayStopRunsFor(step)) {
-      claims_.MakeRoom(step, plan_.starts.size() - before, !MayStopOnSeveralRacks(step));
+    const std::size_t placed = plan_.starts.size() - before;
+    const bool is_whole = placed == step.task_indexes.size();
+    const bool may_claim = !is_whole && MayStopRunsFor(step);
+    if (may_claim) {
+      claims_.MakeRoom(step, placed, !MayStopOnSeveralRacks(step));
     }
+    // Tasks with a claim start in one of the next plans.
+    quotas_.Take(step, may_claim ? step.task_indexes.size() : placed);
     if (!is_whole && step.job->submission->queue.needs_advice) {
       AddQuestion(step);
     }
@@ -160,10 +188,12 @@
     return rooms_.Choose(step);
   }
 
-  // Other work is not lost for a result that comes too late.
+  // Other work is not lost for a result that comes too late, nor for what a team submits beyond its
+  // rate.
   static bool MayStopRunsFor(const StartCandidate& step) {
     return step.priority() == kPreemptingPriority &&
-           (step.is_guaranteed || step.standing != ObjectiveStanding::kMissed);
+           (step.is_guaranteed ||
+            (step.standing != ObjectiveStanding::kMissed && !step.is_beyond_rate));
   }
 
   void PlaceTasks(const StartCandidate& step) {
@@ -265,7 +295,9 @@
 
   const PlanRequest& request_;
   const detail::GuaranteeTable& guarantees_;
+  const detail::TeamUsageTable& usage_;
   detail::RoomTable rooms_;
+  detail::QuotaGate quotas_;
   detail::UrgentClaims claims_;
   detail::OverdueRule overdue_rule_;
   StartPlan plan_;
@@ -282,17 +314,19 @@
     return {};
   }
   detail::GuaranteeTable guarantees(request);
+  detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
   for (StartCandidate& it : candidates) {
+    it.is_beyond_rate = std::binary_search(request.jobs_beyond_rate.begin(),
+                                           request.jobs_beyond_rate.end(), it.step.job);
     it.standing = detail::StandingOf(it, request.unix_now_ms);
     it.is_guaranteed = guarantees.Admit(it);
     it.may_reclaim = it.is_guaranteed && request.unix_now_ms >= it.due_at_ms + kReclaimAfterMs;
   }
-  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::tuple(a.priority(), a.standing) < std::tuple(b.priority(), b.standing);
-  });
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const auto& a, const auto& b) { return RankOf(a) < RankOf(b); });
   const auto rest = std::stable_partition(candidates.begin(), candidates.end(),
                                           [](const auto& it) { return it.may_reclaim; });
-  PlanningPass pass(request, guarantees);
+  PlanningPass pass(request, guarantees, usage);
   // Placed first, so that guaranteed steps that have waited long also get room cleared for other
   // work.
   pass.PlaceAll({candidates.begin(), rest});
