Urgent work gets room in the quota of its own team

Change: less urgent runs of the same team are stopped for urgent tasks that the quota does not admit beside them, and the part of the quota that urgent work has needed lately is kept for it. A quota that has fallen stops nothing by itself, but guaranteed work still gets through; the test of the fall says both now.

--- a/include/clementineloom/workload/detail/room_table.h
+++ b/include/clementineloom/workload/detail/room_table.h
@@ -26,6 +26,8 @@
   /// @brief The rooms on a rack, or all if the rack is empty.
   [[nodiscard]] const std::vector<WorkerRoom*>& On(const std::string& rack) const;
   [[nodiscard]] const std::map<std::string, RackRoom>& racks() const { return racks_; }
+  /// @brief The jobs of the runs.
+  [[nodiscard]] const JobTable& jobs() const { return request_.jobs; }
 
   /// @brief Free accelerators of all rooms; those on which more is claimed than is free count as 0.
   [[nodiscard]] std::int64_t free_accelerators() const { return free_accelerators_; }
--- a/include/clementineloom/workload/detail/team_usage.h
+++ b/include/clementineloom/workload/detail/team_usage.h
@@ -13,16 +13,39 @@
   /// 0 of a resource for no limit.
   Resources quota;
   double weight = 1;
+  /// What all its runs hold, and the part that those hold which are being stopped.
   Resources held;
+  Resources stopping;
+  /// Accelerators that its urgent runs hold, without those that are being stopped.
+  std::int64_t urgent_accelerators = 0;
+  /// Accelerators of the quota that are kept for its urgent work.
+  std::int64_t reserved_accelerators = 0;
 
   friend auto operator<=>(const TeamUsage&, const TeamUsage&) = default;
 
-  /// @brief How many tasks, at most `tasks`, the quota admits beside what the team holds. A task is
-  /// not limited by a resource that it does not need.
-  [[nodiscard]] std::int64_t AdmittedTasks(const Resources& per_task, std::int64_t tasks) const {
+  /// @brief How many urgent tasks, at most `tasks`, the quota admits beside what the team holds. A
+  /// task is not limited by a resource that it does not need.
+  [[nodiscard]] std::int64_t AdmittedUrgentTasks(const Resources& per_task,
+                                                 std::int64_t tasks) const {
     return TasksWithin(per_task, tasks, held);
   }
 
+  /// @brief The same for other tasks, which leave free what is reserved.
+  [[nodiscard]] std::int64_t AdmittedTasks(const Resources& per_task, std::int64_t tasks) const {
+    return TasksWithin(per_task, tasks, held + Resources{0, 0, reserved_accelerators});
+  }
+
+  /// @brief What has to end, beside the runs that are being stopped, before the quota admits tasks.
+  [[nodiscard]] Resources MissingFor(const Resources& needed) const {
+    const auto missing = [&](std::int64_t Resources::*resource) {
+      const std::int64_t more = held.*resource - stopping.*resource + needed.*resource;
+      const bool is_limited = quota.*resource > 0 && needed.*resource > 0;
+      return is_limited ? std::max<std::int64_t>(more - quota.*resource, 0) : 0;
+    };
+    return {missing(&Resources::cpu_millicores), missing(&Resources::memory_mb),
+            missing(&Resources::accelerators)};
+  }
+
   /// @brief Whether the quota admits tasks once the team holds nothing else.
   [[nodiscard]] bool MayEverHold(const Resources& per_task, std::int64_t tasks) const {
     return TasksWithin(per_task, tasks, {}) == tasks;
--- a/include/clementineloom/workload/detail/team_usage_table.h
+++ b/include/clementineloom/workload/detail/team_usage_table.h
@@ -45,6 +45,15 @@
   /// @brief How many of the tasks of a step its team's quota admits now.
   [[nodiscard]] std::int64_t AdmittedTasks(const StartCandidate& step) const;
 
+  /// @brief Keeps a part of a team's quota from its less urgent steps, as far as its urgent runs do
+  /// not hold it. Less than half of a quota is kept, so that other work gets most of it.
+  void Reserve(const std::string& team, std::int64_t urgent_accelerators);
+
+  /// @brief Counts what tasks of a step hold as being stopped.
+  void Stop(Team team, const Resources& amount) {
+    teams_[team].stopping = teams_[team].stopping + amount;
+  }
+
   /// @brief Whether the team's quota admits all tasks of a step once the team holds nothing else.
   [[nodiscard]] bool MayEverHold(const StartCandidate& step) const;
 
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -36,6 +36,8 @@
   /// Steps of jobs that have had nothing at work for long, in their order. Beside free room they no
   /// longer wait for better room.
   std::span<const StepId> overdue_steps = {};
+  /// Accelerators that the urgent work of teams with quotas is expected to need, by team.
+  AcceleratorsByService team_urgent_forecast = {};
   /// Jobs that their teams submitted beyond their rates, in the order of their ids.
   std::span<const std::string> jobs_beyond_rate = {};
 };
--- a/include/clementineloom/workload/start_plan.h
+++ b/include/clementineloom/workload/start_plan.h
@@ -23,6 +23,8 @@
   std::vector<GuaranteeWait> waits;
   /// The urgent work of each service, from which the next plan's reserve is forecast.
   UrgentLoads urgent_loads;
+  /// The same by team, where teams have quotas.
+  UrgentLoads team_urgent_loads;
   /// Question of the step whose turn it is among those that lack approved workers with room.
   std::optional<AdviceQuestion> question;
 
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -119,7 +119,8 @@
     const workload::PlanRequest request = RequestOf();
     workload::StartPlan plan = workload::PlanStarts(request);
     claims_ = std::move(plan.claims);
-    NoteUrgentLoads(request.now, plan.urgent_loads);
+    NoteUrgentLoads(request.now, plan.urgent_loads, urgent_demand_);
+    NoteUrgentLoads(request.now, plan.team_urgent_loads, team_urgent_demand_);
     LogNewWaits(plan.waits);
     if (plan.question && advice_requests_.MayAsk()) {
       advice_requests_.Ask(*plan.question);
@@ -135,17 +136,15 @@
   [[nodiscard]] bool MayPlace() const { return !core_.is_resigning && core_.HasCurrentView(); }
 
   workload::PlanRequest RequestOf() const {
-    return {core_.jobs,
-            core_.workers,
-            core_.operators.evacuated(),
-            core_.advice,
-            claims_,
-            core_.port.Now(),
-            core_.port.UnixNowMs(),
-            Teams(),
-            UrgentReserve(),
-            overdue_steps_,
-            jobs_beyond_rate_};
+    workload::PlanRequest request{
+        core_.jobs, core_.workers,    core_.operators.evacuated(), core_.advice,
+        claims_,    core_.port.Now(), core_.port.UnixNowMs()};
+    request.teams = Teams();
+    request.urgent_reserve = ForecastOf(urgent_demand_);
+    request.overdue_steps = overdue_steps_;
+    request.team_urgent_forecast = ForecastOf(team_urgent_demand_);
+    request.jobs_beyond_rate = jobs_beyond_rate_;
+    return request;
   }
 
   // The ranks follow from the submissions and the teams' rates, and change with them only.
@@ -157,17 +156,20 @@
     }
   }
 
-  workload::AcceleratorsByService UrgentReserve() const {
-    workload::AcceleratorsByService reserve;
-    for (const auto& [service, demand] : urgent_demand_) {
-      reserve.emplace(service, demand.Forecast(core_.port.Now()));
+  using UrgentDemands = std::map<std::string, workload::UrgentDemand, std::less<>>;
+
+  workload::AcceleratorsByService ForecastOf(const UrgentDemands& demands) const {
+    workload::AcceleratorsByService forecast;
+    for (const auto& [name, demand] : demands) {
+      forecast.emplace(name, demand.Forecast(core_.port.Now()));
     }
-    return reserve;
+    return forecast;
   }
 
-  void NoteUrgentLoads(workload::SteadyTime now, const workload::UrgentLoads& loads) {
-    for (const auto& [service, load] : loads) {
-      urgent_demand_[service].Note(now, load);
+  static void NoteUrgentLoads(workload::SteadyTime now, const workload::UrgentLoads& loads,
+                              UrgentDemands& demands) {
+    for (const auto& [name, load] : loads) {
+      demands[name].Note(now, load);
     }
   }
 
@@ -296,7 +298,9 @@
   // Capacity that the last plan reserved for waiting urgent tasks.
   std::vector<workload::RoomClaim> claims_;
   // By service; the room that less urgent work leaves free follows it.
-  std::map<std::string, workload::UrgentDemand, std::less<>> urgent_demand_;
+  UrgentDemands urgent_demand_;
+  // By team with a quota; the room in the quota that its other work leaves free follows it.
+  UrgentDemands team_urgent_demand_;
   // Steps within their team's guarantee that the last plan left waiting.
   std::set<workload::StepId> waiting_;
   workload::WaitTimes wait_times_;
--- a/src/workload/detail/team_usage_table.cc
+++ b/src/workload/detail/team_usage_table.cc
@@ -8,6 +8,18 @@
 // Weight of a team whose configuration names none, beside teams with weights.
 constexpr double kDefaultWeight = 1;
 
+// Most of a quota that is kept for urgent work.
+constexpr std::int64_t kMaxReservePercent = 40;
+
+void Count(const PlacedRun& run, const StepSpec& spec, TeamUsage& team) {
+  team.held = team.held + spec.per_task;
+  if (run.stage == RunStage::kStopping) {
+    team.stopping = team.stopping + spec.per_task;
+  } else if (run.priority == kPreemptingPriority) {
+    team.urgent_accelerators += spec.per_task.accelerators;
+  }
+}
+
 bool IsLimited(const TeamAccess& team) { return team.weight > 0 || team.quota != Resources{}; }
 
 }  // namespace
@@ -37,7 +49,7 @@
       const StepSpec* spec = job == nullptr ? nullptr : job->FindStep(run.task.step.step);
       if (spec != nullptr) {
         TeamUsage& team = teams_[IndexOf(job->submission->team)];
-        team.held = team.held + spec->per_task;
+        Count(placed, *spec, team);
       }
     }
   }
@@ -59,7 +71,23 @@
 std::int64_t TeamUsageTable::AdmittedTasks(const StartCandidate& step) const {
   const auto tasks = static_cast<std::int64_t>(step.task_indexes.size());
   const auto team = TeamOf(*step.job);
-  return team ? teams_[*team].AdmittedTasks(step.spec().per_task, tasks) : tasks;
+  if (!team) {
+    return tasks;
+  }
+  const Resources& per_task = step.spec().per_task;
+  return step.priority() == kPreemptingPriority ? teams_[*team].AdmittedUrgentTasks(per_task, tasks)
+                                                : teams_[*team].AdmittedTasks(per_task, tasks);
+}
+
+void TeamUsageTable::Reserve(const std::string& team, std::int64_t urgent_accelerators) {
+  const auto it = indexes_.find(team);
+  if (it == indexes_.end()) {
+    return;
+  }
+  TeamUsage& usage = teams_[it->second];
+  const std::int64_t most = usage.quota.accelerators * kMaxReservePercent / 100;
+  usage.reserved_accelerators =
+      std::clamp<std::int64_t>(urgent_accelerators - usage.urgent_accelerators, 0, most);
 }
 
 bool TeamUsageTable::MayEverHold(const StartCandidate& step) const {
@@ -75,6 +103,12 @@
   const Resources& per_task = step.spec().per_task;
   TeamUsage& team = teams_[IndexOf(step.job->submission->team)];
   team.held = team.held + per_task * tasks;
+  if (step.priority() == kPreemptingPriority) {
+    const std::int64_t accelerators = per_task.accelerators * tasks;
+    team.urgent_accelerators += accelerators;
+    team.reserved_accelerators =
+        std::max<std::int64_t>(team.reserved_accelerators - accelerators, 0);
+  }
 }
 
 }  // namespace clementineloom::workload::detail
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -14,6 +14,7 @@
 #include "clementineloom/workload/detail/guarantee_table.h"
 #include "clementineloom/workload/detail/overdue_rule.h"
 #include "clementineloom/workload/detail/quota_gate.h"
+#include "clementineloom/workload/detail/quota_reclaim.h"
 #include "clementineloom/workload/detail/rack_fit.h"
 #include "clementineloom/workload/detail/rack_wait.h"
 #include "clementineloom/workload/detail/room_choice.h"
@@ -57,6 +58,7 @@
         rooms_(request),
         quotas_(usage, rooms_),
         claims_(request, rooms_, guarantees, usage),
+        quota_reclaim_(guarantees, usage, rooms_),
         overdue_rule_(request) {}
 
   // Places steps in the order of their ranks, and those of one rank by the shares of their teams.
@@ -83,7 +85,9 @@
 
   StartPlan TakePlan(std::span<const StartCandidate> steps) {
     plan_.urgent_loads = LoadsOf(steps);
-    plan_.preemptions = claims_.preemptions();
+    plan_.team_urgent_loads = TeamLoadsOf(steps);
+    const auto& for_claims = claims_.preemptions();
+    plan_.preemptions.insert(plan_.preemptions.end(), for_claims.begin(), for_claims.end());
     plan_.claims = claims_.claims();
     return std::move(plan_);
   }
@@ -94,7 +98,9 @@
     if (step.priority() == kPreemptingPriority) {
       claims_.Release(step);
     }
+    const std::vector<std::uint32_t> all_tasks = step.task_indexes;
     if (!quotas_.Admit(step)) {
+      StopOwnRunsFor(step, all_tasks);
       return;
     }
     const std::size_t before = plan_.starts.size();
@@ -118,6 +124,15 @@
     }
   }
 
+  // Stops less urgent runs of the step's team where its quota does not admit the step beside them.
+  void StopOwnRunsFor(StartCandidate step, const std::vector<std::uint32_t>& tasks) {
+    if (MayStopRunsFor(step)) {
+      step.task_indexes = tasks;
+      const std::vector<Preemption> stopped = quota_reclaim_.MakeRoom(step);
+      plan_.preemptions.insert(plan_.preemptions.end(), stopped.begin(), stopped.end());
+    }
+  }
+
   void PlaceWhole(const StartCandidate& step) {
     if (step.spec().is_gang) {
       PlaceGang(step);
@@ -154,6 +169,26 @@
     return loads;
   }
 
+  // What the urgent work of each team with a quota holds and waits for. Tasks that the quota does
+  // not admit count, so that room in it is kept for them.
+  UrgentLoads TeamLoadsOf(std::span<const StartCandidate> steps) const {
+    UrgentLoads loads;
+    for (const auto& [team, index] : usage_.indexes()) {
+      const detail::TeamUsage& usage = usage_.Of(index);
+      if (usage.quota.accelerators > 0 && usage.urgent_accelerators > 0) {
+        loads[team].accelerators = usage.urgent_accelerators;
+      }
+    }
+    for (const StartCandidate& it : steps) {
+      const auto team = usage_.TeamOf(*it.job);
+      if (it.priority() == kPreemptingPriority && team && usage_.Of(*team).quota.accelerators > 0) {
+        UrgentLoad& load = loads[it.job->submission->team];
+        load.newest_due_at_ms = std::max(load.newest_due_at_ms, it.due_at_ms);
+      }
+    }
+    return loads;
+  }
+
   void AddWait(const StartCandidate& step) {
     auto wait = detail::DescribeWait(step, request_, rooms_, claims_, guarantees_);
     if (wait) {
@@ -299,6 +334,7 @@
   detail::RoomTable rooms_;
   detail::QuotaGate quotas_;
   detail::UrgentClaims claims_;
+  detail::QuotaReclaim quota_reclaim_;
   detail::OverdueRule overdue_rule_;
   StartPlan plan_;
   // Turn of the step that asks.
@@ -315,6 +351,9 @@
   }
   detail::GuaranteeTable guarantees(request);
   detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
+  for (const auto& [team, accelerators] : request.team_urgent_forecast) {
+    usage.Reserve(team, accelerators);
+  }
   for (StartCandidate& it : candidates) {
     it.is_beyond_rate = std::binary_search(request.jobs_beyond_rate.begin(),
                                            request.jobs_beyond_rate.end(), it.step.job);
--- a/tests/workload/team_quota_test.cc
+++ b/tests/workload/team_quota_test.cc
@@ -147,6 +147,59 @@
   EXPECT_TRUE(plan.preemptions.empty());
 }
 
+// Guards against a guarantee that is void until batch work has ended, because the quota fell.
+TEST_F(TeamQuotaTest, GuaranteedTasks_OnceTheQuotaHasFallen_StopBatchWorkOfTheirTeam) {
+  Submit("bulk", Step(30, 1), 2, 0, "blue");
+  StartAll();
+  SetQuota({0, 0, 3});
+  teams_.front().guaranteed_accelerators = 2;
+  Submit("urgent", Step(2, 1), kPreemptingPriority, 0, "blue");
+  EXPECT_EQ(Plan().preemptions.size(), 9U);
+}
+
+// Guards against a guarantee that the team's own batch work makes void.
+TEST_F(TeamQuotaTest, UrgentTasks_BehindBatchWorkOfTheirTeam_StopAsMuchOfItAsNeeded) {
+  Submit("bulk", Step(10, 1), 2, 0, "blue");
+  StartAll();
+  Submit("urgent", Gang(2, 2), kPreemptingPriority, 0, "blue");
+  const StartPlan plan = Plan();
+  EXPECT_EQ(plan.preemptions.size(), 4U);
+  BeginStops(plan);
+  EXPECT_TRUE(Plan().preemptions.empty());
+  for (const Preemption& it : plan.preemptions) {
+    workers_[it.worker].Remove(it.run);
+  }
+  const StartPlan next = Plan();
+  ASSERT_EQ(next.starts.size(), 2U);
+  EXPECT_EQ(next.starts.front().run.run.task.step.job, "urgent");
+}
+
+// Guards against runs of a gang that count one by one, so that more is stopped than needed.
+TEST_F(TeamQuotaTest, UrgentTasks_BehindAGangOfTheirTeam_StopItOnce) {
+  Submit("bulk", Gang(5, 2), 2, 0, "blue");
+  StartAll();
+  Submit("urgent", Gang(2, 2), kPreemptingPriority, 0, "blue");
+  EXPECT_EQ(Plan().preemptions.size(), 1U);
+}
+
+// Guards against runs that are stopped although the quota does not admit the step even then.
+TEST_F(TeamQuotaTest, UrgentGang_LargerThanTheQuota_StopsNothing) {
+  Submit("bulk", Step(10, 1), 2, 0, "blue");
+  StartAll();
+  Submit("urgent", Gang(4, 4), kPreemptingPriority, 0, "blue");
+  EXPECT_TRUE(Plan().preemptions.empty());
+}
+
+// Guards against batch work that takes the room in the quota which urgent work needs each second.
+TEST_F(TeamQuotaTest, OtherTasks_BesideAForecastOfUrgentWork_LeaveItsPartOfTheQuotaFree) {
+  Submit("bulk", Step(30, 1), 2, 0, "blue");
+  PlanRequest request{jobs_, workers_, evacuated_, advice_, claims_, now_, 100'000, teams_};
+  request.team_urgent_forecast = {{"blue", 3}};
+  EXPECT_EQ(PlanStarts(request).starts.size(), 7U);
+  request.team_urgent_forecast = {{"blue", 10}};
+  EXPECT_EQ(PlanStarts(request).starts.size(), 6U);
+}
+
 // Guards against runs that are stopped for a task which its team's quota then keeps from starting.
 TEST_F(TeamQuotaTest, UrgentTasks_BeyondTheQuota_StopNoRuns) {
   Submit("bulk", Step(32, 1), 2, 0, "green");
