An append that is sent again no longer makes the owner appear without the store

Ruled out: owner suspended or replaced. Change: the store counts as not taking appends after a refusal or two calls without an answer, and the timeout doubles after a call without an answer, up to its limit.

--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -285,7 +285,7 @@
   // Without the store no request can be accepted: the load balancer should route to another
   // instance.
   void UpdateReady() {
-    has_store_ = jobs_follower_.is_healthy() && !appender_.is_retrying();
+    has_store_ = jobs_follower_.is_healthy() && !appender_.is_failing();
     hooks_.set_ready(!is_stopping_ && operators_.config() && has_store_);
   }
 
--- a/src/entry/store/append_timeout.h
+++ b/src/entry/store/append_timeout.h
@@ -30,6 +30,12 @@
     return AppendTimeout(std::max(answer_time, kDecayNumerator * answer_time_ / kDecayDenominator));
   }
 
+  /// @brief The timeout after a call without an answer: twice as long, since a store that has
+  /// become slow would time out the repeated call as well.
+  [[nodiscard]] constexpr AppendTimeout WithoutAnswer() const {
+    return AppendTimeout(2 * length() / kAnswerTimeFactor);
+  }
+
   [[nodiscard]] constexpr workload::Milliseconds length() const {
     return std::clamp(kAnswerTimeFactor * answer_time_, kMin, kMax);
   }
--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -60,8 +60,9 @@
   /// suspended.
   [[nodiscard]] workload::SteadyTime confirmed_at() const { return confirmed_at_; }
 
-  /// @brief Whether the append in flight is being retried.
-  [[nodiscard]] bool is_retrying() const { return is_busy_ && failures_ > 0; }
+  /// @brief Whether the store does not take the append in flight: it refused it, or answered it not
+  /// at all twice. One answer that is missing shows only that the store has become slower.
+  [[nodiscard]] bool is_failing() const { return is_busy_ && (is_refused_ || failures_ > 1); }
 
  private:
   static constexpr workload::Milliseconds kFirstRetryDelay{50};
@@ -107,6 +108,7 @@
     order.sequence = sequence_;
     order_ = std::move(order);
     is_outcome_open_ = false;
+    is_refused_ = false;
     failures_ = 0;
     first_sent_at_ = port_.Now();
     Send();
@@ -133,7 +135,11 @@
       Finish(answer.status, 1);
       return;
     }
-    is_outcome_open_ = is_outcome_open_ || answer.status == AppendStatus::kUnknown;
+    is_refused_ = answer.status == AppendStatus::kRefused;
+    if (answer.status == AppendStatus::kUnknown) {
+      is_outcome_open_ = true;
+      timeout_ = timeout_.WithoutAnswer();
+    }
     if (options_.give_up_after && port_.Now() - first_sent_at_ >= *options_.give_up_after) {
       GiveUp();
       return;
@@ -157,6 +163,7 @@
                        {"waiting", waiting_.size()}});
     ++epoch_;
     sequence_ = options_.first_sequence;
+    is_refused_ = false;
     failures_ = 0;
     std::deque<Group> unsent = std::exchange(waiting_, {});
     const auto alive = lifetime_.watch();
@@ -201,6 +208,8 @@
   bool is_busy_ = false;
   // Whether the append in flight may already have been carried out.
   bool is_outcome_open_ = false;
+  // Whether the last answer to it was a refusal, and the number of calls that failed.
+  bool is_refused_ = false;
   std::uint32_t failures_ = 0;
   AppendTimeout timeout_;
   workload::SteadyTime first_sent_at_;
--- a/tests/entry/append_storm_test.cc
+++ b/tests/entry/append_storm_test.cc
@@ -22,6 +22,8 @@
   static constexpr Milliseconds kSubmitInterval{40};
   static constexpr Milliseconds kSlowTime{5'000};
   static constexpr Milliseconds kCallerTimeout{3'000};
+  // Later than an append without an answer is sent again.
+  static constexpr Milliseconds kLateAnswer{1'100};
   static constexpr int kOk = 200;
 
   AppendStormTest() {
@@ -102,7 +104,18 @@
   EXPECT_EQ(Owner(cluster_), owner_);
 }
 
-INSTANTIATE_TEST_SUITE_P(AppendTimes, AppendStormTest, testing::Values(100, 208, 240, 300),
+// Guards against an owner that all instances give up at the same time because it sends one append
+// again: the store is only slower than it was, and their appends make it slower still.
+TEST_P(AppendStormTest, Submissions_WhileTheOwnerRepeatsAnAppend_AreAllRecordedByTheOwner) {
+  const int appends_before = AppendsOfOthers();
+  cluster_.store.QueueAppends(Milliseconds(GetParam()));
+  cluster_.store.DelayAppendsOf(StandInCluster::InstanceName(owner_) + "-", kLateAnswer);
+  SubmitFor(kSlowTime);
+  cluster_.RunFor(kCallerTimeout);
+  EXPECT_EQ(AppendsOfOthers(), appends_before);
+}
+
+INSTANTIATE_TEST_SUITE_P(AppendTimes, AppendStormTest, testing::Values(100, 208, 240, 300, 520),
                          testing::PrintToStringParamName());
 
 }  // namespace
