Placement by the speed of workers

Change: the owner keeps a relative speed for each worker, from the progress of the tasks of the same step. Urgent steps avoid workers that are too slow for their objective for 700 ms at most, also when runs are stopped for them; work with slack takes slow workers first; the room kept for urgent work leaves out slow workers. Without known speeds placements are as before.

--- a/include/clementineloom/workload/detail/standing_of.h
+++ b/include/clementineloom/workload/detail/standing_of.h
@@ -19,4 +19,9 @@
 /// Thread safety: a pure function. Complexity: linear in the dependencies of the job.
 [[nodiscard]] ObjectiveStanding StandingOf(const StartCandidate& step, std::int64_t unix_now_ms);
 
+/// @brief The least speed of a worker on which a step's job can still end within its objective if
+/// the step starts now, by the estimates; at most 1, and 0 for a job without an objective.
+/// Thread safety: a pure function.
+[[nodiscard]] double MinSpeedOf(const StartCandidate& step, std::int64_t unix_now_ms);
+
 }  // namespace clementineloom::workload::detail
--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -28,6 +28,11 @@
   bool takes_reserved_room = false;
   /// Its team submitted its job beyond the team's rate.
   bool is_beyond_rate = false;
+  /// The least speed of a worker on which its job can still meet its objective, by its estimate; 0
+  /// without an objective, and never above that of most workers.
+  double min_speed = 0;
+  /// It waits for a worker of that speed.
+  bool avoids_slow_workers = false;
   /// What its job can still reach.
   ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -38,6 +38,8 @@
   /// Accelerators that urgent and other runs hold, without those that are being stopped.
   std::int64_t urgent_accelerators = 0;
   std::int64_t less_urgent_accelerators = 0;
+  /// Of the worker, 1 for one like most others.
+  double speed = 1;
   /// Whether the room is kept for urgent work.
   bool is_reserved = false;
 
--- a/include/clementineloom/workload/placed_run.h
+++ b/include/clementineloom/workload/placed_run.h
@@ -51,6 +51,10 @@
   /// Percentage of the work that is done, and when it last rose.
   std::uint32_t progress_percent = 0;
   SteadyTime progressed_at;
+  /// Progress at the end of the last span from which the speed of its worker was sampled, and when;
+  /// 0 before the first progress.
+  std::uint32_t sampled_percent = 0;
+  SteadyTime sampled_at;
   /// Share of full speed that the worker lets it work at; absent while that is not known.
   std::optional<std::uint32_t> pace_percent = 100;
   /// Newest figure of the worker: for a service task its tail latency in milliseconds, else the
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -14,6 +14,7 @@
 #include "clementineloom/workload/step_id.h"
 #include "clementineloom/workload/team_access.h"
 #include "clementineloom/workload/worker_pool.h"
+#include "clementineloom/workload/worker_speeds.h"
 
 namespace clementineloom::workload {
 
@@ -36,6 +37,8 @@
   /// Steps of jobs that have had nothing at work for long, in their order. Beside free room they no
   /// longer wait for better room.
   std::span<const StepId> overdue_steps = {};
+  /// Speeds of the workers that differ from most others; null where none is known.
+  const WorkerSpeeds* speeds = nullptr;
   /// Accelerators that the urgent work of teams with quotas is expected to need, by team.
   AcceleratorsByService team_urgent_forecast = {};
   /// Jobs that their teams submitted beyond their rates, in the order of their ids.
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -411,6 +411,7 @@
       const bool is_gone = !it.second.is_listed && it.second.runs.empty() && !link.is_polling &&
                            link.pending_end_appends == 0;
       if (is_gone) {
+        core_.speeds.Forget(it.first);
         core_.links.erase(it.first);
       }
       return is_gone;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -14,6 +14,7 @@
 
 #include "clementineloom/workload/advice_cache.h"
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/speed_model.h"
 #include "clementineloom/workload/team_quota.h"
 #include "clementineloom/workload/worker_pool.h"
 #include "clementineloom/workload/worker_silence.h"
@@ -214,6 +215,8 @@
   std::map<std::string, WorkerLink> links;
   workload::WorkerSilence silence;
   workload::AdviceCache advice;
+  /// The speeds of workers, as this owner has seen them.
+  workload::SpeedModel speeds;
   /// Workers whose leases may not be extended, because their end is recorded.
   workload::LeaseEnds lease_ends;
   /// Latest time at which the epoch is known to have been the newest at the store.
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -144,6 +144,7 @@
     request.overdue_steps = overdue_steps_;
     request.team_urgent_forecast = ForecastOf(team_urgent_demand_);
     request.jobs_beyond_rate = jobs_beyond_rate_;
+    request.speeds = &core_.speeds.speeds();
     return request;
   }
 
--- a/src/entry/owner/worker_poller.h
+++ b/src/entry/owner/worker_poller.h
@@ -17,6 +17,7 @@
 #include "entry/owner/owner_core.h"
 #include "entry/owner/owner_timing.h"
 #include "entry/owner/run_ends.h"
+#include "entry/owner/run_speeds.h"
 #include "entry/owner/run_starts.h"
 #include "entry/owner/run_stops.h"
 #include "entry/worker/renew_order.h"
@@ -43,7 +44,8 @@
         ends_(ends),
         late_starts_(late_starts),
         pacing_(pacing),
-        withholding_(withholding) {}
+        withholding_(withholding),
+        run_speeds_(core) {}
 
   /// @brief Polls a worker unless a call is in flight or there is nothing to ask.
   void Poll(const std::string& id) {
@@ -155,6 +157,7 @@
     link.incarnation_began_at = core_.port.Now();
     core_.workers[id].is_attached = false;
     core_.advice.DropWorker(id);
+    core_.speeds.Forget(id);
     starts_.OnRestart(id);
   }
 
@@ -422,6 +425,7 @@
   // no new runs for a while.
   void UpdateProgress(const std::string& id, workload::PlacedRun& run, std::uint32_t percent) {
     const auto now = core_.port.Now();
+    run_speeds_.OnProgress(id, run, percent);
     if (run.first_percent_at == workload::SteadyTime()) {
       run.first_percent = percent;
       run.first_percent_at = now;
@@ -484,6 +488,7 @@
   LateStarts<Platform, Port>& late_starts_;
   FillPacing<Platform, Port>& pacing_;
   LeaseWithholding<Platform, Port>& withholding_;
+  RunSpeeds<Platform, Port> run_speeds_;
 };
 
 }  // namespace clementineloom::entry
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -13,6 +13,14 @@
   return {RankOf(room, step), room.free.accelerators, room.free.cpu_millicores};
 }
 
+// A step whose objective leaves less than half of its run time as slack needs speed.
+constexpr double kTightSpeed = 0.5;
+
+int SpeedRank(const WorkerRoom& room, const StartCandidate& step) {
+  const int faster = static_cast<int>(room.speed > 1) - static_cast<int>(room.speed < 1);
+  return step.min_speed >= kTightSpeed ? -faster : faster;
+}
+
 }  // namespace
 
 bool IsEligible(const PoolWorker& worker, const StartCandidate& step) {
@@ -32,6 +40,9 @@
   if (!IsEligible(*room.worker, step) || (room.is_reserved && !MayUseReserve(step))) {
     return false;
   }
+  if (step.avoids_slow_workers && room.speed < step.min_speed) {
+    return false;
+  }
   return !step.job->submission->queue.needs_advice ||
          !request.advice.Ticket(step.step, room.worker->info.id, request.now).empty();
 }
@@ -63,7 +74,8 @@
   const bool interferes = (spec.fills_idle_cpu && room.has_service_tasks) ||
                           (spec.tail_target_ms > 0 && room.has_fill_tasks);
   const bool is_urgent = step.priority() == kPreemptingPriority;
-  return {interferes, room.is_reserved != is_urgent};
+  return {interferes, room.speed < step.min_speed, room.is_reserved != is_urgent,
+          SpeedRank(room, step)};
 }
 
 WorkerRoom* ChooseRoom(const std::vector<WorkerRoom*>& rooms, const StartCandidate& step,
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -13,9 +13,25 @@
 // gets most of what urgent work does not use.
 constexpr std::int64_t kMaxIdleReservePercent = 40;
 
-WorkerRoom RoomOf(const PoolWorker& worker, SteadyTime now) {
+// Urgent work seldom meets its objective on slower workers.
+constexpr double kMinReserveSpeed = 0.7;
+
+double SpeedOf(const PoolWorker& worker, const WorkerSpeeds* speeds) {
+  if (speeds == nullptr) {
+    return 1;
+  }
+  const auto it = speeds->find(worker.info.id);
+  return it == speeds->end() ? 1 : it->second;
+}
+
+bool MayReserve(const WorkerRoom& room, const std::string& service) {
+  return room.worker->info.service == service && room.speed >= kMinReserveSpeed;
+}
+
+WorkerRoom RoomOf(const PoolWorker& worker, SteadyTime now, const WorkerSpeeds* speeds) {
   WorkerRoom room;
   room.worker = &worker;
+  room.speed = SpeedOf(worker, speeds);
   room.free = worker.Free();
   room.free_later = room.free;
   for (const auto& [run, placed] : worker.runs) {
@@ -41,7 +57,7 @@
   rooms_.reserve(request.workers.size());
   for (const auto& [id, worker] : request.workers) {
     if (worker.TakesRuns(request.now) && !request.evacuated.contains(worker.info.data_centre)) {
-      rooms_.push_back(RoomOf(worker, request.now));
+      rooms_.push_back(RoomOf(worker, request.now, request.speeds));
     }
   }
   for (WorkerRoom& it : rooms_) {
@@ -76,7 +92,7 @@
   for (const auto& [name, rack] : racks_) {
     RackLoad load{name, 0, 0};
     for (const WorkerRoom* it : rack.rooms) {
-      if (it->worker->info.service == service) {
+      if (MayReserve(*it, service)) {
         load.accelerators += it->worker->info.capacity.accelerators;
         load.less_urgent += it->less_urgent_accelerators;
         urgent += it->urgent_accelerators;
@@ -94,7 +110,7 @@
     // Whole workers only, and never more than the limit.
     for (WorkerRoom* it : rooms) {
       const std::int64_t capacity = it->worker->info.capacity.accelerators;
-      if (it->worker->info.service == service && capacity <= left) {
+      if (MayReserve(*it, service) && capacity <= left) {
         it->is_reserved = true;
         left -= capacity;
       }
--- a/src/workload/detail/standing_of.cc
+++ b/src/workload/detail/standing_of.cc
@@ -40,4 +40,17 @@
                                                            : ObjectiveStanding::kMissed;
 }
 
+double MinSpeedOf(const StartCandidate& step, std::int64_t unix_now_ms) {
+  // For the start itself, and for the progress that is reported late.
+  constexpr double kMargin = 1.1;
+  const JobSubmission& submission = *step.job->submission;
+  const std::int64_t objective_ms = ObjectiveMs(submission);
+  if (objective_ms == 0 || RunsUntilCancelled(submission)) {
+    return 0;
+  }
+  const auto left_ms = static_cast<double>(objective_ms - (unix_now_ms - step.due_at_ms));
+  const auto path_ms = static_cast<double>(CriticalPathFromMs(submission.steps, step.step.step));
+  return left_ms <= 0 ? 1 : std::min(1.0, kMargin * path_ms / left_ms);
+}
+
 }  // namespace clementineloom::workload::detail
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -47,6 +47,17 @@
   return {step.priority(), step.is_beyond_rate, step.standing};
 }
 
+// Longest wait of an urgent step for workers that are fast enough, a fraction of the time in which
+// it has to begin.
+constexpr std::int64_t kMaxSpeedWaitMs = 700;
+
+// Whether an urgent step should not start on workers that are too slow for its objective.
+bool AvoidsSlowWorkers(const StartCandidate& step, std::int64_t unix_now_ms) {
+  return step.priority() == kPreemptingPriority && step.min_speed > 0 &&
+         step.standing == ObjectiveStanding::kReachable &&
+         unix_now_ms < step.due_at_ms + kMaxSpeedWaitMs;
+}
+
 // One planning pass: the room that is left, and what was decided so far.
 class PlanningPass {
  public:
@@ -358,6 +369,10 @@
     it.is_beyond_rate = std::binary_search(request.jobs_beyond_rate.begin(),
                                            request.jobs_beyond_rate.end(), it.step.job);
     it.standing = detail::StandingOf(it, request.unix_now_ms);
+    if (request.speeds != nullptr && !request.speeds->empty()) {
+      it.min_speed = detail::MinSpeedOf(it, request.unix_now_ms);
+      it.avoids_slow_workers = AvoidsSlowWorkers(it, request.unix_now_ms);
+    }
     it.is_guaranteed = guarantees.Admit(it);
     it.may_reclaim = it.is_guaranteed && request.unix_now_ms >= it.due_at_ms + kReclaimAfterMs;
   }
