Tasks that slow each other on one worker are found and kept apart where there is room

Change: the speed model also keeps what a kind of neighbour leaves of the speed of a task, from comparisons within a step, so that a slow worker is not taken for a bad neighbour. Known pairs are kept apart by the rank of the workers, and never waited for.

--- a/bench/task_planner_bench.cc
+++ b/bench/task_planner_bench.cc
@@ -29,7 +29,9 @@
 
 class Fleet {
  public:
-  Fleet(int workers, int waiting_jobs) {
+  // Without teams, nothing is counted by team.
+  Fleet(int workers, int waiting_jobs, int teams) {
+    AddTeams(teams, workers);
     for (int n = 0; n < workers; ++n) {
       AddWorker(n);
     }
@@ -44,12 +46,20 @@
   }
 
   [[nodiscard]] StartPlan Plan() const {
-    return PlanStarts({jobs_, workers_, evacuated_, advice_, claims_, now_, kUnixNowMs});
+    return PlanStarts({jobs_, workers_, evacuated_, advice_, claims_, now_, kUnixNowMs, teams_});
   }
 
  private:
   static constexpr std::int64_t kUnixNowMs = 1'000'000;
 
+  // Quotas that together exceed the fleet by half, so that some of them are reached.
+  void AddTeams(int count, int workers) {
+    for (int n = 0; n < count; ++n) {
+      const std::int64_t quota = kCapacity.accelerators * workers * 3 / 2 / count + 8;
+      teams_.push_back({"team" + std::to_string(n), {}, 0, 2.0 + n % 3, {0, 0, quota}});
+    }
+  }
+
   void AddWorker(int number) {
     PoolWorker worker;
     worker.info.id = "i-" + std::to_string(100'000 + number);
@@ -72,6 +82,9 @@
     JobSubmission submission;
     submission.id = JobId(++jobs_submitted_);
     submission.queue.service = "inspect";
+    if (!teams_.empty()) {
+      submission.team = teams_[random_() % teams_.size()].name;
+    }
     submission.queue.priority = priority;
     submission.accepted_at_ms = kUnixNowMs - 300;
     submission.steps = {step};
@@ -88,6 +101,7 @@
 
   std::mt19937 random_{kSeed};
   int jobs_submitted_ = 0;
+  std::vector<TeamAccess> teams_;
   JobTable jobs_;
   WorkerPool workers_;
   std::set<std::string> evacuated_;
@@ -96,8 +110,8 @@
   SteadyTime now_ = SteadyTime() + Milliseconds(1'000'000);
 };
 
-void Measure(int workers, int waiting_jobs, int plans) {
-  const Fleet fleet(workers, waiting_jobs);
+void Measure(int workers, int waiting_jobs, int teams, int plans) {
+  const Fleet fleet(workers, waiting_jobs, teams);
   std::size_t starts = 0;
   std::size_t preemptions = 0;
   const auto begin = std::chrono::steady_clock::now();
@@ -107,8 +121,9 @@
     preemptions = plan.preemptions.size();
   }
   const std::chrono::duration<double, std::milli> spent = std::chrono::steady_clock::now() - begin;
-  std::cout << "workers=" << workers << " waiting_jobs=" << waiting_jobs << " starts=" << starts
-            << " preemptions=" << preemptions << " ms_per_plan=" << spent.count() / plans << "\n";
+  std::cout << "workers=" << workers << " waiting_jobs=" << waiting_jobs << " teams=" << teams
+            << " starts=" << starts << " preemptions=" << preemptions
+            << " ms_per_plan=" << spent.count() / plans << "\n";
 }
 
 }  // namespace
@@ -117,7 +132,9 @@
   const int plans = argc > 1 ? std::atoi(argv[1]) : 20;
   for (const int workers : {48, 350, 1'400}) {
     for (const int waiting_jobs : {0, 20, 200}) {
-      Measure(workers, waiting_jobs, plans);
+      for (const int teams : {0, 10, 430}) {
+        Measure(workers, waiting_jobs, teams, plans);
+      }
     }
   }
   return 0;
--- a/include/clementineloom/workload/detail/room_rank.h
+++ b/include/clementineloom/workload/detail/room_rank.h
@@ -6,7 +6,8 @@
 
 /// @brief How well a worker suits a step, the best first. An immutable value.
 struct RoomRank {
-  /// Fill tasks and service tasks would share the worker.
+  /// Tasks would share the worker that slow each other: fill tasks and service tasks, or kinds that
+  /// were seen to.
   bool interferes = false;
   /// Too slow for the objective of the step's job.
   bool is_too_slow = false;
--- a/include/clementineloom/workload/detail/start_candidate.h
+++ b/include/clementineloom/workload/detail/start_candidate.h
@@ -2,6 +2,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "clementineloom/workload/detail/objective_standing.h"
@@ -33,6 +35,8 @@
   double min_speed = 0;
   /// It waits for a worker of that speed.
   bool avoids_slow_workers = false;
+  /// Kinds of tasks that it slows or that slow it.
+  std::set<std::string> disturbing_kinds = {};
   /// What its job can still reach.
   ObjectiveStanding standing = ObjectiveStanding::kReachable;
 
--- a/include/clementineloom/workload/detail/team_usage_table.h
+++ b/include/clementineloom/workload/detail/team_usage_table.h
@@ -72,6 +72,13 @@
   }
 
  private:
+  struct JobOwner {
+    const JobEntry* job = nullptr;
+    Team team = 0;
+  };
+
+  // The team of a job; without a job if its submission is not known.
+  JobOwner OwnerOf(const JobEntry* job);
   // The index of a team, which is added without limits if the configuration does not name it.
   Team IndexOf(const std::string& team);
   void CountRuns(const JobTable& jobs, const WorkerPool& workers);
--- a/include/clementineloom/workload/detail/worker_room.h
+++ b/include/clementineloom/workload/detail/worker_room.h
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "clementineloom/workload/detail/rack_room.h"
@@ -38,6 +40,8 @@
   /// Accelerators that urgent and other runs hold, without those that are being stopped.
   std::int64_t urgent_accelerators = 0;
   std::int64_t less_urgent_accelerators = 0;
+  /// Kinds of the runs here, with those that are planned; empty where no kinds disturb each other.
+  std::set<std::string> kinds;
   /// Of the worker, 1 for one like most others.
   double speed = 1;
   /// Whether the room is kept for urgent work.
--- a/include/clementineloom/workload/plan_request.h
+++ b/include/clementineloom/workload/plan_request.h
@@ -8,6 +8,7 @@
 
 #include "clementineloom/workload/accelerators_by_service.h"
 #include "clementineloom/workload/advice_cache.h"
+#include "clementineloom/workload/interference.h"
 #include "clementineloom/workload/job_table.h"
 #include "clementineloom/workload/room_claim.h"
 #include "clementineloom/workload/steady_time.h"
@@ -39,6 +40,8 @@
   std::span<const StepId> overdue_steps = {};
   /// Speeds of the workers that differ from most others; null where none is known.
   const WorkerSpeeds* speeds = nullptr;
+  /// The kinds of tasks that are known to slow each other; null where none are.
+  const Interference* interference = nullptr;
   /// Accelerators that the urgent work of teams with quotas is expected to need, by team.
   AcceleratorsByService team_urgent_forecast = {};
   /// Jobs that their teams submitted beyond their rates, in the order of their ids.
--- a/src/ctl/verb_list.cc
+++ b/src/ctl/verb_list.cc
@@ -10,6 +10,7 @@
 #include "ctl/verbs/datacentre_in.h"
 #include "ctl/verbs/datacentre_out.h"
 #include "ctl/verbs/explain.h"
+#include "ctl/verbs/interference.h"
 #include "ctl/verbs/job_cancel.h"
 #include "ctl/verbs/job_list.h"
 #include "ctl/verbs/job_show.h"
@@ -23,11 +24,12 @@
 namespace clementineloom::ctl {
 
 std::span<const Verb> Verbs() {
-  static const std::array verbs{
-      ConfigCheckVerb(), ConfigPublishVerb(), ConfigShowVerb(),   PlanVerb(),
-      ConfirmVerb(),     DatacentreOutVerb(), DatacentreInVerb(), TeamListVerb(),
-      JobSubmitVerb(),   JobListVerb(),       JobShowVerb(),      JobCancelVerb(),
-      ExplainVerb(),     WorkersVerb(),       StatusVerb(),       TraceVerb()};
+  static const std::array verbs{ConfigCheckVerb(),  ConfigPublishVerb(), ConfigShowVerb(),
+                                PlanVerb(),         ConfirmVerb(),       DatacentreOutVerb(),
+                                DatacentreInVerb(), TeamListVerb(),      JobSubmitVerb(),
+                                JobListVerb(),      JobShowVerb(),       JobCancelVerb(),
+                                ExplainVerb(),      WorkersVerb(),       InterferenceVerb(),
+                                StatusVerb(),       TraceVerb()};
   return verbs;
 }
 
--- a/src/entry/metric_specs.h
+++ b/src/entry/metric_specs.h
@@ -62,6 +62,13 @@
 inline constexpr MetricSpec kFreeAccelerators{"loom_entry_free_accelerators", "gauge", "",
                                               "accelerators free on these workers (owner)"};
 
+inline constexpr MetricSpec kUnlikeWorkers{
+    "loom_entry_unlike_workers", "gauge", "speed",
+    "workers that are known to be slower or faster than most (owner)"};
+inline constexpr MetricSpec kInterference{
+    "loom_entry_interference", "gauge", "pair",
+    "part of the speed of a kind of tasks that a neighbour leaves; 1 once it is not known to slow "
+    "them any more (owner)"};
 inline constexpr MetricSpec kTeamWeight{"loom_entry_team_weight", "gauge", "team",
                                         "weight of a team with limits; 0 without one (owner)"};
 inline constexpr MetricSpec kTeamAccelerators{"loom_entry_team_accelerators", "gauge", "team",
@@ -82,21 +89,15 @@
                                              "open jobs of a team without a start (owner)"};
 
 /// @brief All metrics of the entry daemon, in the order of docs/metrics.md.
-inline constexpr std::array kMetricSpecs{kRefusals,         kRequestsRead,
-                                         kRequestsEnded,    kJobsAccepted,
-                                         kJobsCancelled,    kRecordSeconds,
-                                         kStartWaitSeconds, kJobSeconds,
-                                         kJobsEnded,        kRunsStarted,
-                                         kRunsEnded,        kRunsStopped,
-                                         kAppendSeconds,    kPlanSeconds,
-                                         kTakeovers,        kHandOvers,
-                                         kIsOwner,          kOwnerEpoch,
-                                         kViewAgeSeconds,   kConfigVersion,
-                                         kWorkers,          kRuns,
-                                         kFreeAccelerators, kTeamWeight,
-                                         kTeamAccelerators, kTeamQuotaAccelerators,
-                                         kTeamCores,        kTeamQuotaCores,
-                                         kTeamMemory,       kTeamQuotaMemory,
-                                         kTeamWaitingJobs};
+inline constexpr std::array kMetricSpecs{
+    kRefusals,       kRequestsRead,   kRequestsEnded,    kJobsAccepted,
+    kJobsCancelled,  kRecordSeconds,  kStartWaitSeconds, kJobSeconds,
+    kJobsEnded,      kRunsStarted,    kRunsEnded,        kRunsStopped,
+    kAppendSeconds,  kPlanSeconds,    kTakeovers,        kHandOvers,
+    kIsOwner,        kOwnerEpoch,     kViewAgeSeconds,   kConfigVersion,
+    kWorkers,        kRuns,           kFreeAccelerators, kUnlikeWorkers,
+    kInterference,   kTeamWeight,     kTeamAccelerators, kTeamQuotaAccelerators,
+    kTeamCores,      kTeamQuotaCores, kTeamMemory,       kTeamQuotaMemory,
+    kTeamWaitingJobs};
 
 }  // namespace clementineloom::entry
--- a/src/entry/owner/owner.h
+++ b/src/entry/owner/owner.h
@@ -361,6 +361,17 @@
     core_.metrics.Set(kWorkers.name, static_cast<double>(workers));
     core_.metrics.Set(kRuns.name, static_cast<double>(runs));
     core_.metrics.Set(kFreeAccelerators.name, static_cast<double>(accelerators));
+    UpdateSpeedMetrics();
+  }
+
+  void UpdateSpeedMetrics() {
+    const auto& speeds = core_.speeds.speeds();
+    const auto slow =
+        std::count_if(speeds.begin(), speeds.end(), [](const auto& it) { return it.second < 1; });
+    const auto known = static_cast<double>(speeds.size());
+    const auto slower = static_cast<double>(slow);
+    core_.metrics.Set(kUnlikeWorkers.name, slower, kUnlikeWorkers.label, "slow");
+    core_.metrics.Set(kUnlikeWorkers.name, known - slower, kUnlikeWorkers.label, "fast");
   }
 
   void PollIdleWorkers(workload::SteadyTime now) {
--- a/src/entry/owner/run_speeds.h
+++ b/src/entry/owner/run_speeds.h
@@ -1,19 +1,23 @@
 #pragma once
 
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "clementineloom/workload/placed_run.h"
 #include "clementineloom/workload/progress_sample.h"
+#include "clementineloom/workload/task_kind.h"
 #include "entry/owner/owner_core.h"
 #include "logging/event_budget.h"
 #include "logging/event_log.h"
 
 namespace clementineloom::entry {
 
-/// @brief Turns the progress that workers report into samples of their speed, and logs each worker
-/// whose speed turns out to be another one than before.
+/// @brief Turns the progress that workers report into samples of speed. Logs the workers and the
+/// pairs of kinds of tasks that turn out to differ from what was known.
 /// Thread safety: none; use from the thread of the port.
 template <class Platform, CallPort Port>
 class RunSpeeds {
@@ -59,16 +63,55 @@
 
   void AddSample(const std::string& worker, const workload::PlacedRun& run, std::uint32_t gained,
                  workload::Milliseconds span) {
-    const workload::StepSpec& spec = *core_.jobs.FindStep(run.run.task.step);
-    const auto speed =
-        core_.speeds.Add({worker, run.run.task.step, spec.is_gang, gained, span}, core_.port.Now());
-    if (speed && budget_.Allow(core_.port.Now())) {
-      logging::LogEvent(logging::LogLevel::kInfo, "worker_speed",
-                        {{"worker", worker},
-                         {"speed_percent", static_cast<int>(*speed * kFullPercent)},
-                         {"unlike_others", core_.speeds.speeds().size()},
-                         {"left_out", budget_.TakeLeftOut()}});
+    const workload::JobSubmission& submission = *core_.jobs.Find(run.run.task.step.job)->submission;
+    const workload::StepSpec& spec = submission.steps[run.run.task.step.step];
+    const workload::SpeedChange change =
+        core_.speeds.Add({worker, run.run.task.step, workload::TaskKind(submission, spec),
+                          NeighboursOf(worker, run.run), spec.is_gang, gained, span},
+                         core_.port.Now());
+    if (change.worker_speed && budget_.Allow(core_.port.Now())) {
+      LogWorker(worker, *change.worker_speed);
     }
+    if (change.pair) {
+      LogPair(*change.pair);
+    }
+  }
+
+  // The kinds of the other runs on a worker, each once.
+  [[nodiscard]] std::vector<std::string> NeighboursOf(const std::string& worker,
+                                                      const workload::TaskRun& run) const {
+    std::set<std::string> kinds;
+    for (const auto& [other, placed] : core_.workers.at(worker).runs) {
+      const workload::JobEntry* job = core_.jobs.Find(other.task.step.job);
+      const workload::StepSpec* spec =
+          job == nullptr ? nullptr : job->FindStep(other.task.step.step);
+      if (other != run && spec != nullptr && placed.stage == workload::RunStage::kRunning) {
+        kinds.insert(workload::TaskKind(*job->submission, *spec));
+      }
+    }
+    return {kinds.begin(), kinds.end()};
+  }
+
+  void LogWorker(const std::string& worker, double speed) {
+    logging::LogEvent(logging::LogLevel::kInfo, "worker_speed",
+                      {{"worker", worker},
+                       {"speed_percent", std::lround(speed * kFullPercent)},
+                       {"unlike_others", core_.speeds.speeds().size()},
+                       {"left_out", budget_.TakeLeftOut()}});
+  }
+
+  void LogPair(const workload::KindPair& pair) {
+    const workload::SpeedEstimate estimate = core_.speeds.EstimateOf(pair);
+    const bool is_known = core_.speeds.interference().contains(pair);
+    logging::LogEvent(
+        logging::LogLevel::kInfo, "tasks_interfere",
+        {{"slowed", pair.slowed},
+         {"neighbour", pair.neighbour},
+         {"apart", is_known ? 1 : 0},
+         {"left_percent", std::lround(std::exp(estimate.log_speed) * kFullPercent)},
+         {"deviation_percent", std::lround(std::sqrt(estimate.variance) * kFullPercent)}});
+    core_.metrics.Set(kInterference.name, is_known ? std::exp(estimate.log_speed) : 1,
+                      kInterference.label, pair.slowed + " beside " + pair.neighbour);
   }
 
   OwnerCore<Platform, Port>& core_;
--- a/src/entry/owner/task_placement.h
+++ b/src/entry/owner/task_placement.h
@@ -145,6 +145,7 @@
     request.team_urgent_forecast = ForecastOf(team_urgent_demand_);
     request.jobs_beyond_rate = jobs_beyond_rate_;
     request.speeds = &core_.speeds.speeds();
+    request.interference = &core_.speeds.interference();
     return request;
   }
 
--- a/src/workload/detail/room_choice.cc
+++ b/src/workload/detail/room_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 #include <tuple>
 
 namespace clementineloom::workload::detail {
@@ -16,6 +17,11 @@
 // A step whose objective leaves less than half of its run time as slack needs speed.
 constexpr double kTightSpeed = 0.5;
 
+bool HasDisturbingKind(const WorkerRoom& room, const StartCandidate& step) {
+  return std::any_of(step.disturbing_kinds.begin(), step.disturbing_kinds.end(),
+                     [&](const std::string& it) { return room.kinds.contains(it); });
+}
+
 int SpeedRank(const WorkerRoom& room, const StartCandidate& step) {
   const int faster = static_cast<int>(room.speed > 1) - static_cast<int>(room.speed < 1);
   return step.min_speed >= kTightSpeed ? -faster : faster;
@@ -72,7 +78,8 @@
 RoomRank RankOf(const WorkerRoom& room, const StartCandidate& step) {
   const StepSpec& spec = step.spec();
   const bool interferes = (spec.fills_idle_cpu && room.has_service_tasks) ||
-                          (spec.tail_target_ms > 0 && room.has_fill_tasks);
+                          (spec.tail_target_ms > 0 && room.has_fill_tasks) ||
+                          HasDisturbingKind(room, step);
   const bool is_urgent = step.priority() == kPreemptingPriority;
   return {interferes, room.speed < step.min_speed, room.is_reserved != is_urgent,
           SpeedRank(room, step)};
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -5,6 +5,7 @@
 #include "clementineloom/workload/detail/ends_soon.h"
 #include "clementineloom/workload/detail/rack_reserve.h"
 #include "clementineloom/workload/detail/victim_search.h"
+#include "clementineloom/workload/task_kind.h"
 
 namespace clementineloom::workload::detail {
 namespace {
@@ -28,10 +29,26 @@
   return room.worker->info.service == service && room.speed >= kMinReserveSpeed;
 }
 
-WorkerRoom RoomOf(const PoolWorker& worker, SteadyTime now, const WorkerSpeeds* speeds) {
+std::set<std::string> KindsOn(const PoolWorker& worker, const JobTable& jobs) {
+  std::set<std::string> kinds;
+  for (const auto& [run, placed] : worker.runs) {
+    const JobEntry* job = jobs.Find(run.task.step.job);
+    const StepSpec* spec = job == nullptr ? nullptr : job->FindStep(run.task.step.step);
+    if (spec != nullptr) {
+      kinds.insert(TaskKind(*job->submission, *spec));
+    }
+  }
+  return kinds;
+}
+
+WorkerRoom RoomOf(const PoolWorker& worker, const PlanRequest& request) {
+  const SteadyTime now = request.now;
   WorkerRoom room;
   room.worker = &worker;
-  room.speed = SpeedOf(worker, speeds);
+  room.speed = SpeedOf(worker, request.speeds);
+  if (request.interference != nullptr && !request.interference->empty()) {
+    room.kinds = KindsOn(worker, request.jobs);
+  }
   room.free = worker.Free();
   room.free_later = room.free;
   for (const auto& [run, placed] : worker.runs) {
@@ -57,7 +74,7 @@
   rooms_.reserve(request.workers.size());
   for (const auto& [id, worker] : request.workers) {
     if (worker.TakesRuns(request.now) && !request.evacuated.contains(worker.info.data_centre)) {
-      rooms_.push_back(RoomOf(worker, request.now, request.speeds));
+      rooms_.push_back(RoomOf(worker, request));
     }
   }
   for (WorkerRoom& it : rooms_) {
@@ -138,6 +155,9 @@
 void RoomTable::Take(WorkerRoom& room, const StartCandidate& step) {
   Discount(room);
   room.Take(step.step, step.spec());
+  if (!step.disturbing_kinds.empty()) {
+    room.kinds.insert(TaskKind(*step.job->submission, step.spec()));
+  }
   Count(room);
 }
 
--- a/src/workload/detail/team_usage_table.cc
+++ b/src/workload/detail/team_usage_table.cc
@@ -1,6 +1,8 @@
 #include "clementineloom/workload/detail/team_usage_table.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace clementineloom::workload::detail {
 namespace {
@@ -41,26 +43,38 @@
   }
 }
 
+TeamUsageTable::JobOwner TeamUsageTable::OwnerOf(const JobEntry* job) {
+  return job == nullptr || !job->submission ? JobOwner{}
+                                            : JobOwner{job, IndexOf(job->submission->team)};
+}
+
 void TeamUsageTable::CountRuns(const JobTable& jobs, const WorkerPool& workers) {
+  // Most jobs have several runs. The names are those of the runs.
+  std::unordered_map<std::string_view, JobOwner> known;
   for (const auto& [id, worker] : workers) {
     fleet_ = fleet_ + worker.info.capacity;
     for (const auto& [run, placed] : worker.runs) {
-      const JobEntry* job = jobs.Find(run.task.step.job);
+      const auto [it, is_new] = known.try_emplace(run.task.step.job);
+      if (is_new) {
+        it->second = OwnerOf(jobs.Find(run.task.step.job));
+      }
+      const JobEntry* job = it->second.job;
       const StepSpec* spec = job == nullptr ? nullptr : job->FindStep(run.task.step.step);
       if (spec != nullptr) {
-        TeamUsage& team = teams_[IndexOf(job->submission->team)];
-        Count(placed, *spec, team);
+        Count(placed, *spec, teams_[it->second.team]);
       }
     }
   }
 }
 
 TeamUsageTable::Team TeamUsageTable::IndexOf(const std::string& team) {
-  const auto [it, is_new] = indexes_.emplace(team, teams_.size());
-  if (is_new) {
-    teams_.emplace_back();
+  const auto it = indexes_.find(team);
+  if (it != indexes_.end()) {
+    return it->second;
   }
-  return it->second;
+  indexes_.emplace(team, teams_.size());
+  teams_.emplace_back();
+  return teams_.size() - 1;
 }
 
 std::optional<TeamUsageTable::Team> TeamUsageTable::TeamOf(const JobEntry& job) const {
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <tuple>
@@ -25,6 +26,7 @@
 #include "clementineloom/workload/detail/team_usage_table.h"
 #include "clementineloom/workload/detail/urgent_claims.h"
 #include "clementineloom/workload/detail/wait_description.h"
+#include "clementineloom/workload/task_kind.h"
 
 namespace clementineloom::workload {
 namespace {
@@ -58,6 +60,24 @@
          unix_now_ms < step.due_at_ms + kMaxSpeedWaitMs;
 }
 
+// Kinds of tasks that a step slows or that slow it.
+std::set<std::string> DisturbingKinds(const StartCandidate& step, const PlanRequest& request) {
+  std::set<std::string> kinds;
+  if (request.interference == nullptr) {
+    return kinds;
+  }
+  const std::string& kind = TaskKind(*step.job->submission, step.spec());
+  for (const auto& [pair, left] : *request.interference) {
+    if (pair.slowed == kind) {
+      kinds.insert(pair.neighbour);
+    }
+    if (pair.neighbour == kind) {
+      kinds.insert(pair.slowed);
+    }
+  }
+  return kinds;
+}
+
 // One planning pass: the room that is left, and what was decided so far.
 class PlanningPass {
  public:
@@ -373,6 +393,7 @@
       it.min_speed = detail::MinSpeedOf(it, request.unix_now_ms);
       it.avoids_slow_workers = AvoidsSlowWorkers(it, request.unix_now_ms);
     }
+    it.disturbing_kinds = DisturbingKinds(it, request);
     it.is_guaranteed = guarantees.Admit(it);
     it.may_reclaim = it.is_guaranteed && request.unix_now_ms >= it.due_at_ms + kReclaimAfterMs;
   }
--- a/tests/workload/speed_model_test.cc
+++ b/tests/workload/speed_model_test.cc
@@ -37,7 +37,7 @@
     now_ += Milliseconds(100);
   }
   void Report(const std::string& worker, const StepId& step, bool is_gang, double span_ms) {
-    model_.Add({worker, step, is_gang, 20, Milliseconds(std::llround(span_ms))}, now_);
+    model_.Add({worker, step, "", {}, is_gang, 20, Milliseconds(std::llround(span_ms))}, now_);
   }
   // Workers that count as slow or fast although they are not, or the other way round.
   int WrongWorkers() const {
@@ -124,7 +124,7 @@
   ASSERT_TRUE(model_.speeds().contains(Name(0)));
   model_.Forget(Name(0));
   EXPECT_FALSE(model_.speeds().contains(Name(0)));
-  EXPECT_EQ(model_.EstimateOf(Name(0)), SpeedEstimate{});
+  EXPECT_EQ(model_.EstimateOf(Name(0)), SpeedEstimate::OfWorker());
 }
 
 }  // namespace
