--- a/src/workload/detail/quota_reclaim.cc
+++ b/src/workload/detail/quota_reclaim.cc
@@ -44,12 +44,12 @@
   }
   rooms_.ListVictims(guarantees_, usage_);
   std::vector<Candidate> chosen;
-  for (Candidate& it : RunsOf(*team)) {
+  for (const Candidate& it : RunsOf(*team)) {
     if (missing.FitsIn({})) {
       break;
     }
     missing = missing - it.freed;
-    chosen.push_back(std::move(it));
+    chosen.push_back(it);
   }
   if (!missing.FitsIn({})) {
     return {};
--- a/tests/docs/metrics_doc_test.cc
+++ b/tests/docs/metrics_doc_test.cc
@@ -32,9 +32,15 @@
   }
 }
 
+constexpr const char* kConfigWithLimits = R"({"version":2,"routes":[
+  {"name":"urgent","host":"h","pathPrefix":"/urgent/","service":"inspect","priority":0}],
+  "tenants":[{"name":"t","apiKeys":["key"],"weight":2,"cap":{"cpu":8000,"memMb":64,"gpus":6}}]})";
+
 // Guards against a metric that the daemon exposes but kMetricSpecs lacks.
 TEST_F(MetricsDocTest, Metrics_OfARunningInstance_AreAllInTheTable) {
   standin::StandInCluster cluster(2, 2, workload::Milliseconds(1'000));
+  // Teams have gauges only where they have limits.
+  cluster.store.Put("keyed.op", "config", kConfigWithLimits);
   cluster.Submit(0, "00000000000000a1", R"([{"count":1,"cpu":1000,"gpus":2}])");
   cluster.store.Refuse(true);
   cluster.Submit(0, "00000000000000a2", R"([{"count":1,"cpu":1000,"gpus":2}])");
