--- a/include/clementineloom/workload/detail/standing_of.h
+++ b/include/clementineloom/workload/detail/standing_of.h
@@ -7,6 +7,10 @@
 
 namespace clementineloom::workload::detail {
 
+/// @brief Whether a job has a step that runs until it is cancelled, so that it has no end that
+/// could be late. Thread safety: a pure function.
+[[nodiscard]] bool RunsUntilCancelled(const JobSubmission& submission);
+
 /// @brief Time from the submission of a job within which it should end; 0 without an objective.
 /// Thread safety: a pure function.
 [[nodiscard]] std::int64_t ObjectiveMs(const JobSubmission& submission);
--- a/src/ctl/verbs/interference.cc
+++ b/src/ctl/verbs/interference.cc
@@ -26,7 +26,8 @@
   Table table{{"TASKS", "SPEED LEFT"}, {}};
   boost::json::array pairs;
   for (const MetricSample& it : samples) {
-    if (it.name == kMetric) {
+    // Pairs that are not known to disturb any more stay on the page as 1.
+    if (it.name == kMetric && it.number < 1) {
       table.rows.push_back({it.label, std::to_string(std::lround(it.number * kPercent)) + "%"});
       pairs.push_back(boost::json::object{{"pair", it.label}, {"left", it.number}});
     }
--- a/src/workload/detail/quota_reclaim.cc
+++ b/src/workload/detail/quota_reclaim.cc
@@ -5,6 +5,25 @@
 #include <utility>
 
 namespace clementineloom::workload::detail {
+namespace {
+
+// Whether an end frees some of a resource of which more is missing.
+bool Helps(const Resources& freed, const Resources& missing) {
+  const auto helps = [&](std::int64_t Resources::*resource) {
+    return missing.*resource > 0 && freed.*resource > 0;
+  };
+  return helps(&Resources::cpu_millicores) || helps(&Resources::memory_mb) ||
+         helps(&Resources::accelerators);
+}
+
+// The tasks of a step that the quota admits once the team holds nothing else.
+std::int64_t MostTasks(const StartCandidate& step, TeamUsage usage) {
+  usage.held = {};
+  return usage.AdmittedUrgentTasks(step.spec().per_task,
+                                   static_cast<std::int64_t>(step.task_indexes.size()));
+}
+
+}  // namespace
 
 std::vector<QuotaReclaim::Candidate> QuotaReclaim::RunsOf(TeamUsageTable::Team team) const {
   std::vector<Candidate> runs;
@@ -30,10 +49,10 @@
 
 std::vector<Preemption> QuotaReclaim::MakeRoom(const StartCandidate& step) {
   const auto team = usage_.TeamOf(*step.job);
-  const auto tasks = static_cast<std::int64_t>(step.task_indexes.size());
-  if (!team || !usage_.MayEverHold(step)) {
+  if (!team || (step.spec().is_gang && !usage_.MayEverHold(step))) {
     return {};
   }
+  const std::int64_t tasks = MostTasks(step, usage_.Of(*team));
   // A quota that has fallen stops nothing by itself; only a guarantee is worth that much work.
   if (usage_.Of(*team).IsOverQuota() && !step.is_guaranteed) {
     return {};
@@ -48,8 +67,10 @@
     if (missing.FitsIn({})) {
       break;
     }
-    missing = missing - it.freed;
-    chosen.push_back(it);
+    if (Helps(it.freed, missing)) {
+      missing = missing - it.freed;
+      chosen.push_back(it);
+    }
   }
   if (!missing.FitsIn({})) {
     return {};
--- a/src/workload/detail/standing_of.cc
+++ b/src/workload/detail/standing_of.cc
@@ -10,14 +10,13 @@
 // A result is of use to its caller up to this multiple of the objective.
 constexpr std::int64_t kUsefulObjectives = 3;
 
-// Whether the job runs until it is cancelled, so that it has no end that could be late.
+}  // namespace
+
 bool RunsUntilCancelled(const JobSubmission& submission) {
   return std::any_of(submission.steps.begin(), submission.steps.end(),
                      [](const StepSpec& it) { return it.runs_until_cancelled; });
 }
 
-}  // namespace
-
 std::int64_t ObjectiveMs(const JobSubmission& submission) {
   const auto path_ms = static_cast<double>(CriticalPathMs(submission.steps));
   return static_cast<std::int64_t>(submission.queue.stretch * path_ms) +
--- a/src/workload/detail/team_usage_table.cc
+++ b/src/workload/detail/team_usage_table.cc
@@ -38,6 +38,12 @@
     has_weights_ = has_weights_ || it.weight > 0;
   }
   CountRuns(jobs, workers);
+  // Teams that only wait take part in the shares, also those that the configuration does not name.
+  for (const auto& [id, job] : jobs.jobs()) {
+    if (job.IsOpen()) {
+      IndexOf(job.submission->team);
+    }
+  }
   for (const TeamUsage& it : teams_) {
     active_weight_ += it.held == Resources{} ? 0 : it.weight;
   }
@@ -89,8 +95,14 @@
     return tasks;
   }
   const Resources& per_task = step.spec().per_task;
-  return step.priority() == kPreemptingPriority ? teams_[*team].AdmittedUrgentTasks(per_task, tasks)
-                                                : teams_[*team].AdmittedTasks(per_task, tasks);
+  TeamUsage alone = teams_[*team];
+  alone.held = {};
+  // A gang that does not fit beside the reserve would never start while that lasts.
+  const bool ignores_reserve =
+      step.priority() == kPreemptingPriority ||
+      (step.spec().is_gang && alone.AdmittedTasks(per_task, tasks) < tasks);
+  return ignores_reserve ? teams_[*team].AdmittedUrgentTasks(per_task, tasks)
+                         : teams_[*team].AdmittedTasks(per_task, tasks);
 }
 
 void TeamUsageTable::Reserve(const std::string& team, std::int64_t urgent_accelerators) {
--- a/src/workload/expected_wait.cc
+++ b/src/workload/expected_wait.cc
@@ -14,13 +14,19 @@
 // What the open jobs of a service wait for.
 struct WaitingWork {
   Resources tasks;
-  // Each resource times the estimated milliseconds.
-  Resources work;
+  // Amounts times the estimated milliseconds; not whole numbers, since estimates of callers times
+  // many tasks may exceed their range.
+  double cpu_work = 0;
+  double memory_work = 0;
+  double accelerator_work = 0;
 
   void Add(const StepSpec& spec, std::int64_t count) {
     const Resources needed = spec.Reserved() * count;
+    const auto estimate_ms = static_cast<double>(spec.estimate_ms);
     tasks = tasks + needed;
-    work = work + needed * spec.estimate_ms;
+    cpu_work += static_cast<double>(needed.cpu_millicores) * estimate_ms;
+    memory_work += static_cast<double>(needed.memory_mb) * estimate_ms;
+    accelerator_work += static_cast<double>(needed.accelerators) * estimate_ms;
   }
 };
 
@@ -64,30 +70,30 @@
     }
   }
   WaitingWork waiting = WaitingWorkOf(jobs, submission.queue.service);
+  // The job itself needs room, but does not wait for its own work.
+  Resources needed = used + waiting.tasks;
   for (const StepSpec& it : submission.steps) {
     if (it.depends_on.empty()) {
-      waiting.Add(it, it.task_count);
+      needed = needed + it.Reserved() * it.task_count;
     }
   }
-  std::int64_t wait_ms = 0;
-  const auto consider = [&](std::int64_t Resources::*resource) {
+  double wait_ms = 0;
+  const auto consider = [&](std::int64_t Resources::*resource, double work) {
     const std::int64_t whole = capacity.*resource;
-    if (whole > 0 && (used + waiting.tasks).*resource > whole) {
-      wait_ms = std::max(wait_ms, waiting.work.*resource / whole);
+    if (whole > 0 && needed.*resource > whole) {
+      wait_ms = std::max(wait_ms, work / static_cast<double>(whole));
     }
   };
-  consider(&Resources::cpu_millicores);
-  consider(&Resources::memory_mb);
-  consider(&Resources::accelerators);
-  return Milliseconds(wait_ms);
+  consider(&Resources::cpu_millicores, waiting.cpu_work);
+  consider(&Resources::memory_mb, waiting.memory_work);
+  consider(&Resources::accelerators, waiting.accelerator_work);
+  constexpr double kLongestMs = 1e9;
+  return Milliseconds(static_cast<std::int64_t>(std::min(wait_ms, kLongestMs)));
 }
 
 std::optional<Milliseconds> WaitWithinObjective(const JobSubmission& submission) {
-  const bool runs_until_cancelled =
-      std::any_of(submission.steps.begin(), submission.steps.end(),
-                  [](const StepSpec& it) { return it.runs_until_cancelled; });
   const std::int64_t objective_ms = detail::ObjectiveMs(submission);
-  if (runs_until_cancelled || submission.occurrences > 0 || objective_ms == 0) {
+  if (detail::RunsUntilCancelled(submission) || submission.occurrences > 0 || objective_ms == 0) {
     return std::nullopt;
   }
   return Milliseconds(objective_ms - detail::CriticalPathMs(submission.steps));
--- a/src/workload/rate_refusal.cc
+++ b/src/workload/rate_refusal.cc
@@ -19,7 +19,8 @@
 std::optional<RateRefusal> RateRefusal::Of(const JobSubmission& submission,
                                            Milliseconds expected_wait) {
   const auto allowed_wait = WaitWithinObjective(submission);
-  if (!allowed_wait || expected_wait <= *allowed_wait) {
+  // A job that cannot meet its objective anyhow is not refused on an idle fleet.
+  if (!allowed_wait || expected_wait <= std::max(*allowed_wait, Milliseconds(0))) {
     return std::nullopt;
   }
   const auto until_room = std::clamp(std::chrono::ceil<std::chrono::seconds>(
--- a/src/workload/speed_model.cc
+++ b/src/workload/speed_model.cc
@@ -15,12 +15,13 @@
 // siblings, and says little of its worker. That cannot be where all have equal work.
 constexpr double kMaxGangDeviation = 1;
 constexpr double kMaxTaskDeviation = 0.5;
-// Weight from which on the siblings of a task say how large it is: about that of two samples.
+// Weight from which on the siblings of a task say how large it is: about that of one sample of a
+// gang, and of two of other steps.
 constexpr double kMinStepWeight = 3.5;
 // Smaller differences are no reason to prefer a worker.
 constexpr double kMinLogDifference = 0.15;
-// A neighbour counts as disturbing if it surely takes a fifth of a task's speed, or more, until it
-// takes less than a tenth.
+// A neighbour counts as disturbing if it is estimated to take a fifth of a task's speed and surely
+// takes something, until it takes less than a tenth.
 constexpr double kMinLogInterference = 0.22;
 constexpr double kEndLogInterference = 0.1;
 constexpr double kSureDeviations = 3;
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -229,7 +229,10 @@
     return waits;
   }
   const detail::RoomTable rooms(request);
-  const detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
+  detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
+  for (const auto& [team, accelerators] : request.team_urgent_forecast) {
+    usage.Reserve(team, accelerators);
+  }
   detail::OverdueRule overdue_rule(request);
   for (const StepId& it : steps) {
     waits.push_back(DescribeWait(request, it, rooms, usage, overdue_rule));
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -200,8 +200,8 @@
     return loads;
   }
 
-  // What the urgent work of each team with a quota holds and waits for. Tasks that the quota does
-  // not admit count, so that room in it is kept for them.
+  // What the urgent work of each team with a quota holds, with what starts now, and when its newest
+  // step arrived, also if the quota does not admit it.
   UrgentLoads TeamLoadsOf(std::span<const StartCandidate> steps) const {
     UrgentLoads loads;
     for (const auto& [team, index] : usage_.indexes()) {
--- a/tests/entry/append_storm_test.cc
+++ b/tests/entry/append_storm_test.cc
@@ -106,13 +106,15 @@
 
 // Guards against an owner that all instances give up at the same time because it sends one append
 // again: the store is only slower than it was, and their appends make it slower still.
-TEST_P(AppendStormTest, Submissions_WhileTheOwnerRepeatsAnAppend_AreAllRecordedByTheOwner) {
+TEST_P(AppendStormTest, Submissions_WhileTheOwnerRepeatsAnAppend_AreNotAppendedByOthers) {
   const int appends_before = AppendsOfOthers();
   cluster_.store.QueueAppends(Milliseconds(GetParam()));
   cluster_.store.DelayAppendsOf(StandInCluster::InstanceName(owner_) + "-", kLateAnswer);
   SubmitFor(kSlowTime);
   cluster_.RunFor(kCallerTimeout);
   EXPECT_EQ(AppendsOfOthers(), appends_before);
+  // Only callers that wait for the first repeated append may give up before the next one is stored.
+  EXPECT_GT(AcceptedCount(), static_cast<int>(submitted_.size() * 9 / 10));
 }
 
 INSTANTIATE_TEST_SUITE_P(AppendTimes, AppendStormTest, testing::Values(100, 208, 240, 300, 520),
--- a/tests/entry/team_quota_cluster_test.cc
+++ b/tests/entry/team_quota_cluster_test.cc
@@ -76,7 +76,7 @@
   PublishQuota(3, 2);
   EXPECT_EQ(cluster_.RunningCount(), 4U);
   cluster_.RunFor(Milliseconds(300));
-  EXPECT_LE(MostRunning(Milliseconds(3'000)), 2U);
+  EXPECT_EQ(MostRunning(Milliseconds(3'000)), 2U);
 }
 
 // Guards against a start that was recorded under the earlier quota and is ordered under the later.
@@ -85,7 +85,7 @@
   const auto exchange = cluster_.Send(0, "POST", "/urgent/00000000000000a1", kTenTasks);
   cluster_.RunFor(Milliseconds(450));
   PublishQuota(3, 1);
-  EXPECT_LE(MostRunning(Milliseconds(4'000)), 1U);
+  EXPECT_EQ(MostRunning(Milliseconds(4'000)), 1U);
   EXPECT_EQ(cluster_.AnswerTo(exchange)->status, kOk);
 }
 
@@ -109,7 +109,9 @@
   ASSERT_EQ(Submit("00000000000000a2", kGangOfSix)->status, kOk);
   PublishQuota(4, 5);
   cluster_.RunFor(Milliseconds(6'000));
-  EXPECT_EQ(cluster_.StartsOf("00000000000000a2.0.0.0"), 0);
+  for (int member = 0; member < 6; ++member) {
+    EXPECT_EQ(cluster_.StartsOf("00000000000000a2.0.0." + std::to_string(member)), 0);
+  }
   PublishQuota(5, 8);
   EXPECT_TRUE(cluster_.RunUntilState("00000000000000a2", "completed", Milliseconds(5'000)));
 }
--- a/tests/workload/speed_model_test.cc
+++ b/tests/workload/speed_model_test.cc
@@ -115,7 +115,7 @@
   EXPECT_FALSE(model_.speeds().contains(Name(7)));
 }
 
-// Guards against the speed of a worker's former life.
+// Guards against a speed that is kept after the worker has restarted.
 TEST_F(SpeedModelTest, Worker_ThatIsForgotten_IsLikeOthers) {
   SetSpeeds({0.6, 1.0, 1.6});
   for (int n = 0; n < 80; ++n) {
--- a/tests/workload/submission_rate_test.cc
+++ b/tests/workload/submission_rate_test.cc
@@ -21,6 +21,13 @@
       Submit(team + std::to_string(100 + n), Step(1, 1), 1, interval_ms * n, team);
     }
   }
+  // A run of less urgent work that fills a worker.
+  PlacedRun BatchRun() {
+    Submit("batch", Step(1, 8), 2, 0, "green");
+    PlacedRun run = PlacedRun::Of({{{"batch", 0, 0}, 0}, 1}, Step(1, 8), 2, now_);
+    run.stage = RunStage::kRunning;
+    return run;
+  }
   std::vector<std::string> Beyond() { return JobsBeyondRate(jobs_, teams_); }
 };
 
@@ -68,25 +75,24 @@
   AddWorker("w1", "r1");
   teams_.push_back({"green", {}, 0, 2, {}});
   for (int n = 0; n < 4; ++n) {
-    Submit("a-saved" + std::to_string(n), Step(1, 2), kPreemptingPriority, 0, "blue");
+    const std::string id = "a-saved" + std::to_string(n);
+    Submit(id, Step(1, 2), kPreemptingPriority, 0, "blue");
+    jobs_.Apply(JobEndSet{id, JobState::kCompleted});
   }
-  ApplyStarts(Plan());
   Submit("beyond", Step(1, 8), kPreemptingPriority, 1, "blue");
-  Submit("within", Step(1, 8), kPreemptingPriority, 2, "green");
-  workers_["w1"].runs.clear();
-  workers_["w1"].used = {};
-  for (int n = 0; n < 4; ++n) {
-    jobs_.Apply(JobEndSet{"a-saved" + std::to_string(n), JobState::kCompleted});
-  }
   const std::vector<std::string> beyond = Beyond();
   ASSERT_EQ(beyond, std::vector<std::string>{"beyond"});
   PlanRequest request{jobs_, workers_, evacuated_, advice_, claims_, now_, 100'000, teams_};
   request.jobs_beyond_rate = beyond;
+  Submit("within", Step(1, 8), kPreemptingPriority, 2, "green");
   const StartPlan plan = PlanStarts(request);
   ASSERT_EQ(plan.starts.size(), 1U);
   EXPECT_EQ(plan.starts.front().run.run.task.step.job, "within");
-  ApplyStarts(plan);
+  jobs_.Apply(JobEndSet{"within", JobState::kCompleted});
+  workers_["w1"].Add(BatchRun());
   EXPECT_TRUE(PlanStarts(request).preemptions.empty());
+  request.jobs_beyond_rate = {};
+  EXPECT_EQ(PlanStarts(request).preemptions.size(), 1U);
 }
 
 }  // namespace
--- a/tests/workload/team_quota_test.cc
+++ b/tests/workload/team_quota_test.cc
@@ -201,13 +201,35 @@
 }
 
 // Guards against runs that are stopped for a task which its team's quota then keeps from starting.
-TEST_F(TeamQuotaTest, UrgentTasks_BeyondTheQuota_StopNoRuns) {
+TEST_F(TeamQuotaTest, UrgentTasks_BeyondTheQuota_StopRunsForTheAdmittedOnly) {
   Submit("bulk", Step(32, 1), 2, 0, "green");
   StartAll();
   Submit("urgent", Step(16, 1), kPreemptingPriority, 0, "blue");
   EXPECT_EQ(Plan().preemptions.size(), 10U);
 }
 
+// Guards against runs that are stopped although their end frees nothing that is missing.
+TEST_F(TeamQuotaTest, UrgentTasks_BehindBatchWorkOfTheirTeam_SpareRunsWithoutAccelerators) {
+  Submit("processors", Step(4, 0), 2, 0, "blue");
+  Submit("bulk", Step(10, 1), 2, 0, "blue");
+  StartAll();
+  Submit("urgent", Step(2, 1), kPreemptingPriority, 0, "blue");
+  const StartPlan plan = Plan();
+  ASSERT_EQ(plan.preemptions.size(), 2U);
+  for (const Preemption& it : plan.preemptions) {
+    EXPECT_EQ(it.run.task.step.job, "bulk");
+  }
+}
+
+// Guards against a gang that never starts because it does not fit beside what is kept for urgent
+// work, and keeps later steps of its team waiting.
+TEST_F(TeamQuotaTest, Gang_LargerThanTheQuotaLessTheReserve_Starts) {
+  Submit("gang", Gang(4, 2), 1, 0, "blue");
+  PlanRequest request{jobs_, workers_, evacuated_, advice_, claims_, now_, 100'000, teams_};
+  request.team_urgent_forecast = {{"blue", 4}};
+  EXPECT_EQ(PlanStarts(request).starts.size(), 4U);
+}
+
 // Guards against a forecast of urgent work that no quota admits, for which room would idle.
 TEST_F(TeamQuotaTest, UrgentTasks_BeyondTheQuota_AreNotForecast) {
   Submit("urgent", Step(16, 1), kPreemptingPriority, 0, "blue");
