One place builds the teams' table of a plan; the quota gate counts and does not change the step

Cause: the planner and the descriptions of waits each added the reserves to the table; the planner copied the task indexes of every candidate in case the quota refused it; two copies of a usage with nothing held stood for one question. Change: TeamUsageTable::ForPlan, QuotaGate::Admit returns a count, TeamUsage::MostTasks. No change of behaviour.

--- a/include/clementineloom/workload/detail/quota_gate.h
+++ b/include/clementineloom/workload/detail/quota_gate.h
@@ -20,11 +20,11 @@
   /// Precondition: the references outlive the gate.
   QuotaGate(TeamUsageTable& usage, const RoomTable& rooms) : usage_(usage), rooms_(rooms) {}
 
-  /// @brief Leaves in a step the tasks that its team's quota admits now; none of a gang that it
-  /// does not admit whole. @return whether any is left
-  bool Admit(StartCandidate& step);
+  /// @brief How many of the tasks of a step its team's quota admits now; none of a gang that it
+  /// does not admit whole.
+  std::size_t Admit(const StartCandidate& step);
 
-  /// @brief Counts tasks of a step as held. Precondition: Admit has left as many.
+  /// @brief Counts tasks of a step as held. Precondition: Admit has admitted as many.
   void Take(const StartCandidate& step, std::size_t tasks);
 
  private:
--- a/include/clementineloom/workload/detail/share_order.h
+++ b/include/clementineloom/workload/detail/share_order.h
@@ -26,7 +26,7 @@
 
  private:
   struct TeamQueue {
-    // Stands for all teams that are not counted.
+    // Stands for all teams where none has a weight.
     static constexpr TeamUsageTable::Team kNoTeam =
         std::numeric_limits<TeamUsageTable::Team>::max();
 
--- a/include/clementineloom/workload/detail/team_usage.h
+++ b/include/clementineloom/workload/detail/team_usage.h
@@ -46,9 +46,15 @@
             missing(&Resources::accelerators)};
   }
 
-  /// @brief Whether the quota admits tasks once the team holds nothing else.
-  [[nodiscard]] bool MayEverHold(const Resources& per_task, std::int64_t tasks) const {
-    return TasksWithin(per_task, tasks, {}) == tasks;
+  /// @brief How many tasks, at most `tasks`, the quota admits once the team holds nothing else.
+  [[nodiscard]] std::int64_t MostTasks(const Resources& per_task, std::int64_t tasks) const {
+    return TasksWithin(per_task, tasks, {});
+  }
+
+  /// @brief The same, with what is reserved left free.
+  [[nodiscard]] std::int64_t MostTasksBesideReserve(const Resources& per_task,
+                                                    std::int64_t tasks) const {
+    return TasksWithin(per_task, tasks, {0, 0, reserved_accelerators});
   }
 
   /// @brief Whether the team holds more of a resource than its quota.
--- a/include/clementineloom/workload/detail/team_usage_table.h
+++ b/include/clementineloom/workload/detail/team_usage_table.h
@@ -12,6 +12,7 @@
 #include "clementineloom/workload/detail/start_candidate.h"
 #include "clementineloom/workload/detail/team_usage.h"
 #include "clementineloom/workload/job_table.h"
+#include "clementineloom/workload/plan_request.h"
 #include "clementineloom/workload/team_access.h"
 #include "clementineloom/workload/worker_pool.h"
 
@@ -30,6 +31,9 @@
   TeamUsageTable(const JobTable& jobs, const WorkerPool& workers,
                  std::span<const TeamAccess> teams);
 
+  /// @brief The table of a plan, with the parts of the quotas that are kept for urgent work.
+  [[nodiscard]] static TeamUsageTable ForPlan(const PlanRequest& request);
+
   /// @brief Whether teams share a full fleet by weights.
   [[nodiscard]] bool has_weights() const { return has_weights_; }
 
@@ -45,11 +49,8 @@
   /// @brief How many of the tasks of a step its team's quota admits now.
   [[nodiscard]] std::int64_t AdmittedTasks(const StartCandidate& step) const;
 
-  /// @brief Keeps a part of a team's quota from its less urgent steps, as far as its urgent runs do
-  /// not hold it. Less than half of a quota is kept, so that other work gets most of it.
-  void Reserve(const std::string& team, std::int64_t urgent_accelerators);
-
-  /// @brief Counts what tasks of a step hold as being stopped.
+  /// @brief Counts what tasks of a step hold as being stopped. Precondition: the index is one of
+  /// this table.
   void Stop(Team team, const Resources& amount) {
     teams_[team].stopping = teams_[team].stopping + amount;
   }
@@ -77,6 +78,9 @@
     Team team = 0;
   };
 
+  // Keeps a part of a team's quota from its less urgent steps, as far as its urgent runs do not
+  // hold it. Less than half of a quota is kept, so that other work gets most of it.
+  void Reserve(const std::string& team, std::int64_t urgent_accelerators);
   // The team of a job; without a job if its submission is not known.
   JobOwner OwnerOf(const JobEntry* job);
   // The index of a team, which is added without limits if the configuration does not name it.
--- a/src/workload/detail/quota_gate.cc
+++ b/src/workload/detail/quota_gate.cc
@@ -4,29 +4,23 @@
 
 namespace clementineloom::workload::detail {
 
-bool QuotaGate::Admit(StartCandidate& step) {
+std::size_t QuotaGate::Admit(const StartCandidate& step) {
   const auto team = usage_.TeamOf(*step.job);
   if (!team) {
-    return true;
+    return step.task_indexes.size();
   }
   if (waiting_teams_.contains(*team)) {
-    step.task_indexes.clear();
-    return false;
+    return 0;
   }
   const auto admitted = static_cast<std::size_t>(usage_.AdmittedTasks(step));
-  if (admitted == step.task_indexes.size()) {
-    return true;
-  }
-  if (!step.spec().is_gang) {
-    step.task_indexes.resize(admitted);
-    return admitted > 0;
+  if (!step.spec().is_gang || admitted == step.task_indexes.size()) {
+    return admitted;
   }
   // A gang that can never start keeps nothing from others.
   if (usage_.MayEverHold(step) && CanFleetHold(step, rooms_)) {
     waiting_teams_.insert(*team);
   }
-  step.task_indexes.clear();
-  return false;
+  return 0;
 }
 
 void QuotaGate::Take(const StartCandidate& step, std::size_t tasks) {
--- a/src/workload/detail/quota_reclaim.cc
+++ b/src/workload/detail/quota_reclaim.cc
@@ -16,13 +16,6 @@
          helps(&Resources::accelerators);
 }
 
-// The tasks of a step that the quota admits once the team holds nothing else.
-std::int64_t MostTasks(const StartCandidate& step, TeamUsage usage) {
-  usage.held = {};
-  return usage.AdmittedUrgentTasks(step.spec().per_task,
-                                   static_cast<std::int64_t>(step.task_indexes.size()));
-}
-
 }  // namespace
 
 std::vector<QuotaReclaim::Candidate> QuotaReclaim::RunsOf(TeamUsageTable::Team team) const {
@@ -52,7 +45,8 @@
   if (!team || (step.spec().is_gang && !usage_.MayEverHold(step))) {
     return {};
   }
-  const std::int64_t tasks = MostTasks(step, usage_.Of(*team));
+  const auto waiting = static_cast<std::int64_t>(step.task_indexes.size());
+  const std::int64_t tasks = usage_.Of(*team).MostTasks(step.spec().per_task, waiting);
   // A quota that has fallen stops nothing by itself; only a guarantee is worth that much work.
   if (usage_.Of(*team).IsOverQuota() && !step.is_guaranteed) {
     return {};
--- a/src/workload/detail/team_usage_table.cc
+++ b/src/workload/detail/team_usage_table.cc
@@ -95,14 +95,21 @@
     return tasks;
   }
   const Resources& per_task = step.spec().per_task;
-  TeamUsage alone = teams_[*team];
-  alone.held = {};
+  const TeamUsage& usage = teams_[*team];
   // A gang that does not fit beside the reserve would never start while that lasts.
   const bool ignores_reserve =
       step.priority() == kPreemptingPriority ||
-      (step.spec().is_gang && alone.AdmittedTasks(per_task, tasks) < tasks);
-  return ignores_reserve ? teams_[*team].AdmittedUrgentTasks(per_task, tasks)
-                         : teams_[*team].AdmittedTasks(per_task, tasks);
+      (step.spec().is_gang && usage.MostTasksBesideReserve(per_task, tasks) < tasks);
+  return ignores_reserve ? usage.AdmittedUrgentTasks(per_task, tasks)
+                         : usage.AdmittedTasks(per_task, tasks);
+}
+
+TeamUsageTable TeamUsageTable::ForPlan(const PlanRequest& request) {
+  TeamUsageTable usage(request.jobs, request.workers, request.teams);
+  for (const auto& [team, accelerators] : request.team_urgent_forecast) {
+    usage.Reserve(team, accelerators);
+  }
+  return usage;
 }
 
 void TeamUsageTable::Reserve(const std::string& team, std::int64_t urgent_accelerators) {
@@ -119,7 +126,7 @@
 bool TeamUsageTable::MayEverHold(const StartCandidate& step) const {
   const auto team = TeamOf(*step.job);
   const auto tasks = static_cast<std::int64_t>(step.task_indexes.size());
-  return !team || teams_[*team].MayEverHold(step.spec().per_task, tasks);
+  return !team || teams_[*team].MostTasks(step.spec().per_task, tasks) == tasks;
 }
 
 void TeamUsageTable::Take(const StartCandidate& step, std::int64_t tasks) {
--- a/src/workload/step_waits.cc
+++ b/src/workload/step_waits.cc
@@ -229,10 +229,7 @@
     return waits;
   }
   const detail::RoomTable rooms(request);
-  detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
-  for (const auto& [team, accelerators] : request.team_urgent_forecast) {
-    usage.Reserve(team, accelerators);
-  }
+  const auto usage = detail::TeamUsageTable::ForPlan(request);
   detail::OverdueRule overdue_rule(request);
   for (const StepId& it : steps) {
     waits.push_back(DescribeWait(request, it, rooms, usage, overdue_rule));
--- a/src/workload/task_planner.cc
+++ b/src/workload/task_planner.cc
@@ -129,9 +129,12 @@
     if (step.priority() == kPreemptingPriority) {
       claims_.Release(step);
     }
-    const std::vector<std::uint32_t> all_tasks = step.task_indexes;
-    if (!quotas_.Admit(step)) {
-      StopOwnRunsFor(step, all_tasks);
+    const std::size_t admitted = quotas_.Admit(step);
+    if (admitted == 0) {
+      StopOwnRunsFor(step);
+    }
+    step.task_indexes.resize(admitted);
+    if (admitted == 0) {
       return;
     }
     const std::size_t before = plan_.starts.size();
@@ -156,9 +159,8 @@
   }
 
   // Stops less urgent runs of the step's team where its quota does not admit the step beside them.
-  void StopOwnRunsFor(StartCandidate step, const std::vector<std::uint32_t>& tasks) {
+  void StopOwnRunsFor(const StartCandidate& step) {
     if (MayStopRunsFor(step)) {
-      step.task_indexes = tasks;
       const std::vector<Preemption> stopped = quota_reclaim_.MakeRoom(step);
       plan_.preemptions.insert(plan_.preemptions.end(), stopped.begin(), stopped.end());
     }
@@ -381,10 +383,7 @@
     return {};
   }
   detail::GuaranteeTable guarantees(request);
-  detail::TeamUsageTable usage(request.jobs, request.workers, request.teams);
-  for (const auto& [team, accelerators] : request.team_urgent_forecast) {
-    usage.Reserve(team, accelerators);
-  }
+  auto usage = detail::TeamUsageTable::ForPlan(request);
   for (StartCandidate& it : candidates) {
     it.is_beyond_rate = std::binary_search(request.jobs_beyond_rate.begin(),
                                            request.jobs_beyond_rate.end(), it.step.job);
