--- a/include/clementineloom/workload/rate_refusal.h
+++ b/include/clementineloom/workload/rate_refusal.h
@@ -14,8 +14,9 @@
 struct RateRefusal {
   /// How long the job would have to wait.
   Milliseconds expected_wait{0};
-  /// When its caller may come back: once the work ahead should have begun, spread over as long
-  /// again by the job's id, so that refused callers do not return together.
+  /// When its caller may come back: what the expected wait exceeds the one that the objective
+  /// allows, within bounds, and up to as long again by the job's id, so that refused callers do not
+  /// return together.
   std::chrono::seconds retry_after{0};
 
   friend auto operator<=>(const RateRefusal&, const RateRefusal&) = default;
--- a/src/entry/owner/owner_core.h
+++ b/src/entry/owner/owner_core.h
@@ -135,7 +135,7 @@
   }
 
   /// @brief Whether the runs of a task's team hold more than the team's quota, as they may once the
-  /// quota has fallen.
+  /// quota has fallen. Complexity: O(runs) where a team has limits.
   [[nodiscard]] bool IsOverQuota(const workload::TaskId& task) const {
     const workload::JobEntry* job = jobs.Find(task.step.job);
     const auto& config = operators.config();
--- a/src/entry/owner/run_speeds.h
+++ b/src/entry/owner/run_speeds.h
@@ -82,11 +82,9 @@
                                                       const workload::TaskRun& run) const {
     std::set<std::string> kinds;
     for (const auto& [other, placed] : core_.workers.at(worker).runs) {
-      const workload::JobEntry* job = core_.jobs.Find(other.task.step.job);
-      const workload::StepSpec* spec =
-          job == nullptr ? nullptr : job->FindStep(other.task.step.step);
-      if (other != run && spec != nullptr && placed.stage == workload::RunStage::kRunning) {
-        kinds.insert(workload::TaskKind(*job->submission, *spec));
+      const std::string* kind = workload::KindOfRun(other, core_.jobs);
+      if (other != run && kind != nullptr && placed.stage == workload::RunStage::kRunning) {
+        kinds.insert(*kind);
       }
     }
     return {kinds.begin(), kinds.end()};
--- a/src/entry/store/appender.h
+++ b/src/entry/store/appender.h
@@ -60,8 +60,8 @@
   /// suspended.
   [[nodiscard]] workload::SteadyTime confirmed_at() const { return confirmed_at_; }
 
-  /// @brief Whether the store does not take the append in flight: it refused it, or answered it not
-  /// at all twice. One answer that is missing shows only that the store has become slower.
+  /// @brief Whether the last call of the append in flight was refused, or two of its calls failed.
+  /// A single call without an answer shows only that the store has become slower.
   [[nodiscard]] bool is_failing() const { return is_busy_ && (is_refused_ || failures_ > 1); }
 
  private:
--- a/src/metrics/metric_registry.h
+++ b/src/metrics/metric_registry.h
@@ -24,7 +24,7 @@
   void Count(std::string_view name, std::string_view label = {}, std::string_view value = {},
              std::uint64_t amount = 1);
 
-  /// @brief Sets a gauge.
+  /// @brief Sets a gauge. @param label, value the label of the series, empty for none
   void Set(std::string_view name, double number, std::string_view label = {},
            std::string_view value = {});
 
--- a/src/workload/detail/room_table.cc
+++ b/src/workload/detail/room_table.cc
@@ -32,10 +32,8 @@
 std::set<std::string> KindsOn(const PoolWorker& worker, const JobTable& jobs) {
   std::set<std::string> kinds;
   for (const auto& [run, placed] : worker.runs) {
-    const JobEntry* job = jobs.Find(run.task.step.job);
-    const StepSpec* spec = job == nullptr ? nullptr : job->FindStep(run.task.step.step);
-    if (spec != nullptr) {
-      kinds.insert(TaskKind(*job->submission, *spec));
+    if (const std::string* kind = KindOfRun(run, jobs)) {
+      kinds.insert(*kind);
     }
   }
   return kinds;
--- a/tests/workload/planner_test.h
+++ b/tests/workload/planner_test.h
@@ -45,6 +45,18 @@
     submission.steps = {std::move(step)};
     jobs_.Apply(SubmissionSet{id, submission});
   }
+  // Submits an urgent job of one step whose objective is a multiple of its estimate.
+  void SubmitUrgentWithObjective(const std::string& id, StepSpec step, double stretch,
+                                 std::int64_t accepted_at_ms) {
+    JobSubmission submission;
+    submission.id = id;
+    submission.queue.service = "inspect";
+    submission.queue.priority = kPreemptingPriority;
+    submission.queue.stretch = stretch;
+    submission.accepted_at_ms = accepted_at_ms;
+    submission.steps = {std::move(step)};
+    jobs_.Apply(SubmissionSet{id, submission});
+  }
   StartPlan Plan(std::int64_t unix_now_ms = 100'000) {
     return PlanStarts({jobs_, workers_, evacuated_, advice_, claims_, now_, unix_now_ms, teams_});
   }
--- a/tests/workload/speed_placement_test.cc
+++ b/tests/workload/speed_placement_test.cc
@@ -28,14 +28,7 @@
     StepSpec step = Step(tasks, 8);
     step.is_gang = true;
     step.estimate_ms = 2'000;
-    JobSubmission submission;
-    submission.id = id;
-    submission.queue.service = "inspect";
-    submission.queue.priority = kPreemptingPriority;
-    submission.queue.stretch = 1.6;
-    submission.accepted_at_ms = accepted_at_ms;
-    submission.steps = {std::move(step)};
-    jobs_.Apply(SubmissionSet{id, submission});
+    SubmitUrgentWithObjective(id, step, 1.6, accepted_at_ms);
   }
   StartPlan PlanWithSpeeds(std::int64_t unix_now_ms = kNowMs) {
     PlanRequest request{jobs_, workers_, evacuated_, advice_, claims_, now_, unix_now_ms, teams_};
--- a/tests/workload/urgent_order_test.cc
+++ b/tests/workload/urgent_order_test.cc
@@ -17,14 +17,7 @@
   void SubmitUrgent(const std::string& id, std::int64_t accepted_at_ms) {
     StepSpec step = Step(1, 8);
     step.estimate_ms = 1'000;
-    JobSubmission submission;
-    submission.id = id;
-    submission.queue.service = "inspect";
-    submission.queue.priority = kPreemptingPriority;
-    submission.queue.stretch = 2.0;
-    submission.accepted_at_ms = accepted_at_ms;
-    submission.steps = {std::move(step)};
-    jobs_.Apply(SubmissionSet{id, submission});
+    SubmitUrgentWithObjective(id, step, 2.0, accepted_at_ms);
   }
 };
 
