--- a/review/standin-4/worker.h
+++ b/review/standin-4/worker.h
@@ -118,6 +118,12 @@
     hook_ = std::move(hook);
   }
 
+  // While a worker is cut off it gets no calls, and none of its answers arrive; it runs on.
+  void set_cut(bool is_cut) {
+    is_cut_ = is_cut;
+    Record::Line(spec_.id + (is_cut ? " is cut off" : " is reached again"));
+  }
+
   void set_draining(bool is_draining, long remaining_ms) {
     {
       const std::lock_guard lock(mutex_);
@@ -197,8 +203,13 @@
       hook = hook_;
     }
     const Verdict verdict = hook ? hook(request.Path(), body) : Verdict{};
+    if (is_cut_) {
+      Record::Line(spec_.id + " is not reached by " + request.Path() + " " + request.body);
+      return std::nullopt;
+    }
     if (verdict.is_answered) {
-      return Carry(request.Path(), body);
+      auto answer = Carry(request.Path(), body);
+      return is_cut_ ? std::nullopt : std::move(answer);
     }
     Record::Line(spec_.id + " leaves " + request.Path() + " " + request.body + " unanswered" +
                  (verdict.carried_out_after_ms < 0
@@ -403,6 +414,7 @@
   long remaining_ms_ = 0;
   long sequence_ = 0;
   long beats_ = 0;
+  std::atomic<bool> is_cut_{false};
   std::atomic<bool> is_ending_{false};
   Server server_;
   std::thread ticker_;
