review: case 11, an entry with missing fields ends the runs of a worker at work (TWICE)

Cause: an entry without version, slots, coldRemainingMs, sequence and born counts as that of a worker; its address replaces that of the worker, and a 421 from there ends the runs at once.

--- a/review/standin-4/worker.h
+++ b/review/standin-4/worker.h
@@ -165,6 +165,7 @@
     return calls;
   }
   const std::string& id() const { return spec_.id; }
+  std::string Address() const { return server_.Address(); }
   int life() const { return life_; }
 
  private:
