--- a/review/standin-4/deployment.h
+++ b/review/standin-4/deployment.h
@@ -150,26 +150,25 @@
   // Three queues of one service: batch, urgent and background work.
   static json::object Config(long version) {
     const auto route = [](const char* name, const char* prefix, int priority, int attempts) {
-      return json::object{{"name", name},          {"host", kHost},
-                          {"pathPrefix", prefix},  {"type", "unsafe"},
-                          {"timeoutMs", 3000},     {"targetLatencyMs", 1000},
-                          {"priority", priority},  {"service", "svc"},
-                          {"maxAttempts", attempts}, {"stretch", 3.0},
-                          {"public", false}};
+      return json::object{{"name", name},         {"host", kHost},     {"pathPrefix", prefix},
+                          {"type", "unsafe"},     {"timeoutMs", 3000}, {"targetLatencyMs", 1000},
+                          {"priority", priority}, {"service", "svc"},  {"maxAttempts", attempts},
+                          {"stretch", 3.0},       {"public", false}};
     };
-    return {{"version", version},
-            {"routes", {route("r-urgent", "/urgent/", 0, 2), route("r-batch", "/batch/", 1, 4),
-                        route("r-back", "/back/", 2, 3)}},
-            {"services",
-             {json::object{{"name", "svc"},
-                           {"healthPath", "/health"},
-                           {"maxConnections", 64},
-                           {"protocol", "h1"},
-                           {"enforcesCapacity", false},
-                           {"standby", false}}}},
-            {"tenants", {json::object{{"name", "team-1"},
-                                      {"apiKeys", {kKey}},
-                                      {"guaranteed", {{"gpus", 0}}}}}}};
+    return {
+        {"version", version},
+        {"routes",
+         {route("r-urgent", "/urgent/", 0, 2), route("r-batch", "/batch/", 1, 4),
+          route("r-back", "/back/", 2, 3)}},
+        {"services",
+         {json::object{{"name", "svc"},
+                       {"healthPath", "/health"},
+                       {"maxConnections", 64},
+                       {"protocol", "h1"},
+                       {"enforcesCapacity", false},
+                       {"standby", false}}}},
+        {"tenants",
+         {json::object{{"name", "team-1"}, {"apiKeys", {kKey}}, {"guaranteed", {{"gpus", 0}}}}}}};
   }
 
   void PutConfig(const json::object& config) {
@@ -183,7 +182,8 @@
       it->Start();
     }
     for (int n = 0; n < 100; ++n) {
-      if (std::all_of(entries.begin(), entries.end(), [](const auto& it) { return it->IsReady(); })) {
+      if (std::all_of(entries.begin(), entries.end(),
+                      [](const auto& it) { return it->IsReady(); })) {
         return true;
       }
       SleepMs(100);
@@ -276,8 +276,8 @@
       for (const Event& end : events) {
         const bool is_its_end = end.kind == Event::kEnd && end.task == task && end.run == it.run &&
                                 end.worker == it.worker && end.life == it.life;
-        const bool is_crash = end.kind == Event::kDown && end.worker == it.worker &&
-                              end.life == it.life;
+        const bool is_crash =
+            end.kind == Event::kDown && end.worker == it.worker && end.life == it.life;
         if (is_its_end || is_crash) {
           to = std::min(to, end.at);
         }
--- a/review/standin-4/store.h
+++ b/review/standin-4/store.h
@@ -163,8 +163,8 @@
         }
       }
       if (producer->sequence && sequence != *producer->sequence + 1) {
-        return {409, json::serialize(json::object{{"reason", "seq"},
-                                                  {"sequence", *producer->sequence + 1}})};
+        return {409, json::serialize(
+                         json::object{{"reason", "seq"}, {"sequence", *producer->sequence + 1}})};
       }
     }
     const bool is_keyed = request.Query("topic").rfind("keyed.", 0) == 0;
@@ -178,8 +178,8 @@
       Append(*topic, request.body.substr(at + 4, length), is_keyed);
       at += 4 + length;
     }
-    const std::string answer = json::serialize(
-        json::object{{"offset", offset}, {"endOffset", topic->records.size()}});
+    const std::string answer =
+        json::serialize(json::object{{"offset", offset}, {"endOffset", topic->records.size()}});
     if (producer != nullptr && !request.body.empty()) {
       producer->sequence = sequence;
       producer->answers.emplace_back(sequence, answer);
--- a/review/standin-4/worker.h
+++ b/review/standin-4/worker.h
@@ -212,11 +212,11 @@
       auto answer = Carry(request.Path(), body);
       return is_cut_ ? std::nullopt : std::move(answer);
     }
-    Record::Line(spec_.id + " leaves " + request.Path() + " " + request.body + " unanswered" +
-                 (verdict.carried_out_after_ms < 0
-                      ? ""
-                      : ", carried out " + std::to_string(verdict.carried_out_after_ms) +
-                            " ms later"));
+    Record::Line(
+        spec_.id + " leaves " + request.Path() + " " + request.body + " unanswered" +
+        (verdict.carried_out_after_ms < 0
+             ? ""
+             : ", carried out " + std::to_string(verdict.carried_out_after_ms) + " ms later"));
     if (verdict.carried_out_after_ms >= 0) {
       std::thread([this, path = request.Path(), body, verdict] {
         SleepMs(verdict.carried_out_after_ms);
@@ -241,7 +241,8 @@
     if (!is_up_) {
       return std::nullopt;
     }
-    const long token = body.contains("fencingToken") ? body.at("fencingToken").to_number<long>() : 0;
+    const long token =
+        body.contains("fencingToken") ? body.at("fencingToken").to_number<long>() : 0;
     if (token < fence_) {
       return Conflict("fence");
     }
@@ -267,8 +268,8 @@
 
   void Extend(const json::object& body) {
     if (body.contains("deadlineMs")) {
-      const long until = std::min(body.at("deadlineMs").to_number<long>(),
-                                  ClockMs() + spec_.max_hold_ms);
+      const long until =
+          std::min(body.at("deadlineMs").to_number<long>(), ClockMs() + spec_.max_hold_ms);
       lease_ms_ = std::max(lease_ms_, until);
     }
   }
@@ -315,8 +316,8 @@
     const long ack = body.contains("ackPosition") ? body.at("ackPosition").to_number<long>() : 0;
     for (auto it = ended_.begin(); it != ended_.end();) {
       if (it->number <= ack) {
-        events_.Add({Event::kNoted, NowMs(), spec_.id, life_, it->task, it->run, it->how,
-                     it->number});
+        events_.Add(
+            {Event::kNoted, NowMs(), spec_.id, life_, it->task, it->run, it->how, it->number});
         Record::Line(spec_.id + " forgets end " + std::to_string(it->number) + " (run " +
                      std::to_string(it->run) + " of " + it->task + ", " + it->how +
                      "): ackPosition " + std::to_string(ack));
@@ -334,8 +335,8 @@
     for (const auto& [task, run] : runs_) {
       const long done =
           std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - run.began).count();
-      running.push_back({task, run.run, "", std::min(99L, done * 100 / std::max(run.work_ms, 1L)),
-                         1000});
+      running.push_back(
+          {task, run.run, "", std::min(99L, done * 100 / std::max(run.work_ms, 1L)), 1000});
     }
     json::array ended;
     for (const End& it : ended_) {
